--- /dev/null
+++ b/crates/wb-dispatch/src/choice.rs
@@ -0,0 +1,42 @@
+//! Which server, and which other home.
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::policy::Candidate;
+
+/// What nearness is worth, as a share of a server's slots.
+pub const NEAR: f32 = 0.15;
+
+/// Score of a server: the share of its slots that are free, and its nearness.
+pub fn score(free: u32, slots: u32, near: bool) -> f32 {
+    let share = free as f32 / slots.max(1) as f32;
+    if near { share + NEAR } else { share }
+}
+
+/// Index of the best candidate; ties are broken at random.
+pub fn best(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+    let top = candidates
+        .iter()
+        .map(|candidate| candidate.score)
+        .max_by(f32::total_cmp)?;
+    let ties: Vec<usize> = (0..candidates.len())
+        .filter(|index| candidates[*index].score >= top)
+        .collect();
+    ties.choose(rng).copied()
+}
+
+/// Index of the better of two candidates drawn at random. What is known of other homes is stale;
+/// drawing two keeps all homes from running to the same one.
+pub fn better_of_two(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let a = rng.random_range(0..candidates.len());
+    let b = rng.random_range(0..candidates.len());
+    if candidates[b].score > candidates[a].score {
+        Some(b)
+    } else {
+        Some(a)
+    }
+}
--- /dev/null
+++ b/crates/wb-dispatch/src/dispatch/access.rs
@@ -0,0 +1,97 @@
+//! The border towards the daemon.
+
+use std::mem;
+use std::time::Duration;
+
+use wb_health::Change;
+use wb_types::id::Moment;
+use wb_types::id::TableVersion;
+use wb_types::member::HomeLoad;
+use wb_types::policy::Row;
+use wb_types::work::Ending;
+use wb_types::work::Work;
+
+use super::AVOID_LIFE;
+use super::Dispatch;
+use super::WorkKey;
+use crate::policy::Decision;
+use crate::policy::Place;
+use crate::policy::Policy;
+use crate::policy::Report;
+use crate::policy::ServerView;
+
+impl Policy for Dispatch {
+    fn set_rows(&mut self, rows: &[Row], version: TableVersion, floor: u32) {
+        self.take_rows(rows, version, floor);
+    }
+
+    fn place(&mut self, place: &Place, now: Moment) {
+        self.take_place(place, now);
+        self.decide(now);
+    }
+
+    fn set_leaving(&mut self, server: &str, leaving: bool) {
+        let found = self
+            .usage
+            .iter()
+            .find(|(_, usage)| &*usage.server.name == server);
+        if let Some((key, _)) = found {
+            self.ward.set_leaving(key, leaving);
+        }
+    }
+
+    fn hear(&mut self, load: &HomeLoad, now: Moment) {
+        self.take_load(load, now);
+    }
+
+    fn unreachable(&mut self, home: &str, now: Moment) {
+        let found = self.homes.iter_mut().find(|known| &*known.name == home);
+        if let Some(found) = found {
+            found.avoid = now + AVOID_LIFE;
+        }
+    }
+
+    fn offer(&mut self, work: Work, now: Moment) -> WorkKey {
+        self.take(work, now)
+    }
+
+    fn finish(&mut self, key: WorkKey, ending: Ending, report: Option<Report>, now: Moment) {
+        self.end(key, ending, report, now);
+    }
+
+    fn retry(&mut self) -> bool {
+        self.retries.spend()
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.pass_time(now);
+    }
+
+    fn decisions(&mut self) -> Vec<Decision> {
+        mem::take(&mut self.decisions)
+    }
+
+    fn changes(&mut self) -> Vec<Change> {
+        mem::take(&mut self.changes)
+    }
+
+    fn load(&mut self, now: Moment) -> HomeLoad {
+        self.tell(now)
+    }
+
+    fn median(&self) -> Option<Duration> {
+        self.ward.median()
+    }
+
+    fn servers(&self) -> Vec<ServerView> {
+        let views = self.usage.iter().map(|(key, usage)| ServerView {
+            name: usage.server.name.clone(),
+            state: self.ward.state(key).to_owned(),
+            score: self.ward.score(key),
+            leaving: self.ward.is_leaving(key),
+            busy: usage.busy,
+            slots: usage.server.slots,
+        });
+        views.collect()
+    }
+}
--- /dev/null
+++ b/crates/wb-dispatch/src/dispatch/homes.rs
@@ -0,0 +1,137 @@
+//! The other homes of the service.
+
+use wb_types::id::InstanceName;
+use wb_types::id::Moment;
+use wb_types::member::HomeLoad;
+use wb_types::member::RowLoad;
+use wb_types::policy::RowKey;
+use wb_types::work::Length;
+
+use super::Dispatch;
+use super::SILENCE;
+use super::Stage;
+use super::WorkKey;
+use crate::choice;
+use crate::limit;
+use crate::policy::Account;
+use crate::policy::Candidate;
+use crate::policy::Decision;
+use crate::policy::Verdict;
+
+impl Dispatch {
+    pub(super) fn take_load(&mut self, load: &HomeLoad, now: Moment) {
+        let home = self.homes.iter_mut().find(|home| home.name == load.home);
+        let Some(home) = home else {
+            return;
+        };
+        home.free = load.free;
+        home.waiting = load.waiting;
+        home.healthy = load.healthy;
+        home.heard = Some(now);
+        home.rows.clone_from(&load.rows);
+        self.decide(now);
+    }
+
+    /// Another home with a free slot, as far as is known.
+    pub(super) fn free_home(&mut self, now: Moment) -> Option<(InstanceName, Account)> {
+        let fresh = |heard: Option<Moment>| heard.is_some_and(|at| now - at < SILENCE);
+        let open = self
+            .homes
+            .iter()
+            .filter(|home| home.free > 0 && home.avoid <= now && fresh(home.heard));
+        let candidates: Vec<Candidate> = open
+            .map(|home| Candidate {
+                name: home.name.clone(),
+                free: home.free,
+                score: home.free as f32,
+            })
+            .collect();
+        self.choose_home(candidates)
+    }
+
+    /// Any other home: one with free slots if there is one, else the one with the least work
+    /// waiting for its slots.
+    pub(super) fn any_home(&mut self, now: Moment) -> Option<(InstanceName, Account)> {
+        if let Some(found) = self.free_home(now) {
+            return Some(found);
+        }
+        let open = self.homes.iter().filter(|home| home.avoid <= now);
+        let candidates: Vec<Candidate> = open
+            .map(|home| Candidate {
+                name: home.name.clone(),
+                free: home.free,
+                score: -(home.waiting as f32) / home.healthy.max(1) as f32,
+            })
+            .collect();
+        self.choose_home(candidates)
+    }
+
+    fn choose_home(&mut self, candidates: Vec<Candidate>) -> Option<(InstanceName, Account)> {
+        let index = choice::better_of_two(&candidates, &mut self.rng)?;
+        let name = candidates[index].name.clone();
+        if let Some(home) = self.homes.iter_mut().find(|home| home.name == name) {
+            home.free = home.free.saturating_sub(1);
+        }
+        let account = Account {
+            candidates,
+            ..Account::default()
+        };
+        Some((name, account))
+    }
+
+    pub(super) fn pass(&mut self, key: WorkKey, home: InstanceName, account: Account, now: Moment) {
+        let account = Account {
+            candidates: account.candidates,
+            tag: account.tag,
+            ..self.account(key, now)
+        };
+        self.jobs[key].stage = Stage::Passed;
+        self.decisions.push(Decision {
+            key,
+            verdict: Verdict::Pass(home),
+            account,
+        });
+    }
+
+    /// Sets each row's share from the demand here and at the other homes.
+    pub(super) fn share_limits(&mut self, now: Moment) {
+        let count = self.homes.len() + 1;
+        for state in self.rows.values_mut() {
+            let others = others_of(&self.homes, &state.row.key, count, now);
+            let demand = state.demand.rate(now);
+            state.share = limit::next_share(demand, count, &others);
+        }
+    }
+
+    pub(super) fn tell(&mut self, now: Moment) -> HomeLoad {
+        let free = self.free_all(Length::Short, now);
+        let waiting = self.queues.waiting(Length::Short) + self.queues.waiting(Length::Long);
+        let rows = self.rows.values_mut().map(|state| RowLoad {
+            row: state.row.key.clone(),
+            demand: state.demand.rate(now) as f32,
+            share: state.share as f32,
+        });
+        HomeLoad {
+            home: self.options.me.clone(),
+            service: self.options.service.clone(),
+            free,
+            waiting: waiting as u32,
+            healthy: self.ward.healthy_slots(now),
+            rows: rows.collect(),
+        }
+    }
+}
+
+fn others_of(homes: &[super::Home], row: &RowKey, count: usize, now: Moment) -> Vec<limit::Other> {
+    let even = 1.0 / count as f64;
+    let view = |home: &super::Home| {
+        let load = home.rows.iter().find(|load| load.row == *row);
+        let heard = home.heard.is_some_and(|at| now - at < SILENCE);
+        limit::Other {
+            demand: load.map_or(0.0, |load| f64::from(load.demand)),
+            share: load.map_or(even, |load| f64::from(load.share)),
+            heard,
+        }
+    };
+    homes.iter().map(view).collect()
+}
--- /dev/null
+++ b/crates/wb-dispatch/src/dispatch/slots.rs
@@ -0,0 +1,89 @@
+//! Slots of the owned servers.
+
+use wb_health::ServerKey;
+use wb_types::id::Moment;
+use wb_types::work::Length;
+
+use super::Dispatch;
+use super::Usage;
+use crate::choice;
+use crate::policy::Candidate;
+
+impl Usage {
+    /// Slots that long work may hold.
+    fn long_slots(&self) -> u32 {
+        (self.server.slots / 2).max(1)
+    }
+
+    fn limit(&self, usable: u32, now: Moment) -> u32 {
+        let foreign = if now < self.foreign_until {
+            self.foreign
+        } else {
+            0
+        };
+        let cap = if now < self.cap_until {
+            self.cap
+        } else {
+            usable
+        };
+        usable.saturating_sub(foreign).min(cap)
+    }
+}
+
+impl Dispatch {
+    /// Free slots of a server for work of a length, whatever its health.
+    pub(super) fn free(&self, key: ServerKey, length: Length, now: Moment) -> u32 {
+        let Some(usage) = self.usage.get(key) else {
+            return 0;
+        };
+        let usable = self.ward.usable(key, now);
+        let free = usage.limit(usable, now).saturating_sub(usage.busy);
+        match length {
+            Length::Short => free,
+            Length::Long => free.min(usage.long_slots().saturating_sub(usage.long)),
+        }
+    }
+
+    /// Free slots of all servers in rotation.
+    pub(super) fn free_all(&self, length: Length, now: Moment) -> u32 {
+        self.usage
+            .keys()
+            .filter(|key| self.ward.serves(*key))
+            .map(|key| self.free(key, length, now))
+            .sum()
+    }
+
+    /// Whether a server in rotation has a free slot.
+    pub(super) fn has_room(&self, length: Length, now: Moment) -> bool {
+        let mut keys = self.usage.keys();
+        keys.any(|key| self.ward.serves(key) && self.free(key, length, now) > 0)
+    }
+
+    /// Servers in rotation with a free slot, scored.
+    pub(super) fn candidates(&self, length: Length, now: Moment) -> Vec<(ServerKey, Candidate)> {
+        let mut found = Vec::new();
+        for (key, usage) in &self.usage {
+            if !self.ward.serves(key) {
+                continue;
+            }
+            let free = self.free(key, length, now);
+            if free == 0 {
+                continue;
+            }
+            let near = usage.server.domain == self.options.domain;
+            let candidate = Candidate {
+                name: usage.server.name.clone(),
+                free,
+                score: choice::score(free, usage.server.slots, near),
+            };
+            found.push((key, candidate));
+        }
+        found
+    }
+
+    /// A server that needs evidence and has a free slot.
+    pub(super) fn copy_target(&self, now: Moment) -> Option<ServerKey> {
+        let mut keys = self.usage.keys();
+        keys.find(|key| self.ward.wants_copies(*key) && self.free(*key, Length::Short, now) > 0)
+    }
+}
--- /dev/null
+++ b/crates/wb-dispatch/src/length.rs
@@ -0,0 +1,50 @@
+//! Whether work is short or long.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use wb_types::work::Length;
+
+/// Bodies from this size on make work long, in bytes.
+pub const LONG_BODY: u64 = 256 * 1024;
+/// Routes that are remembered.
+const ROUTES_MAX: usize = 1024;
+/// A route whose usual time is this many medians is long.
+const LONG_FACTOR: f64 = 5.0;
+/// Weight of the newest duration in a route's usual time.
+const NEWEST: f64 = 0.2;
+
+/// Learns the usual duration of each route.
+#[derive(Clone, Debug, Default)]
+pub struct Lengths {
+    routes: HashMap<String, f64>,
+}
+
+impl Lengths {
+    /// Takes the duration of one completed request.
+    pub fn learn(&mut self, route: &str, took: Duration) {
+        let secs = took.as_secs_f64();
+        if let Some(usual) = self.routes.get_mut(route) {
+            *usual += NEWEST * (secs - *usual);
+            return;
+        }
+        if self.routes.len() < ROUTES_MAX {
+            self.routes.insert(route.to_owned(), secs);
+        }
+    }
+
+    /// Expected length of a request of a route, with a body of `size` bytes if that is known.
+    pub fn expect(&self, route: &str, size: Option<u64>, median: Option<Duration>) -> Length {
+        if size.is_none_or(|size| size >= LONG_BODY) {
+            return Length::Long;
+        }
+        let (Some(usual), Some(median)) = (self.routes.get(route), median) else {
+            return Length::Short;
+        };
+        if *usual > median.as_secs_f64() * LONG_FACTOR {
+            Length::Long
+        } else {
+            Length::Short
+        }
+    }
+}
--- /dev/null
+++ b/crates/wb-dispatch/src/policy.rs
@@ -0,0 +1,172 @@
+//! The border between decisions and the daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use wb_health::Change;
+use wb_types::id::InstanceName;
+use wb_types::id::Moment;
+use wb_types::id::ServerName;
+use wb_types::id::TableVersion;
+use wb_types::member::HomeLoad;
+use wb_types::outcome::Refusal;
+use wb_types::policy::Row;
+use wb_types::roster::Server;
+use wb_types::work::Ending;
+use wb_types::work::Work;
+
+slotmap::new_key_type! {
+    /// Key of a request between [`Policy::offer`] and [`Policy::finish`].
+    pub struct WorkKey;
+}
+
+/// Decides where the requests of one service go.
+///
+/// Each offered request gets exactly one [`Decision`], now or later, unless it is finished
+/// before; each one is finished once.
+pub trait Policy: Send {
+    /// Sets the rows of the service.
+    fn set_rows(&mut self, rows: &[Row], version: TableVersion, floor: u32);
+    /// Sets the servers that the instance owns, and the homes.
+    fn place(&mut self, place: &Place, now: Moment);
+    /// Marks a server as leaving, or as staying after all.
+    fn set_leaving(&mut self, server: &str, leaving: bool);
+    /// Takes what another home says of its load.
+    fn hear(&mut self, load: &HomeLoad, now: Moment);
+    /// Notes that a home could not be reached.
+    fn unreachable(&mut self, home: &str, now: Moment);
+    /// Takes a request.
+    fn offer(&mut self, work: Work, now: Moment) -> WorkKey;
+    /// Ends a request, whatever became of it.
+    fn finish(&mut self, key: WorkKey, ending: Ending, report: Option<Report>, now: Moment);
+    /// Whether one more retry fits the budget.
+    fn retry(&mut self) -> bool;
+    /// Lets time pass.
+    fn tick(&mut self, now: Moment);
+    /// Decisions made since the last call.
+    fn decisions(&mut self) -> Vec<Decision>;
+    /// Changes of health since the last call.
+    fn changes(&mut self) -> Vec<Change>;
+    /// What the other homes are told.
+    fn load(&mut self, now: Moment) -> HomeLoad;
+    /// Median duration of short work.
+    fn median(&self) -> Option<Duration>;
+    /// Each owned server as operators see it.
+    fn servers(&self) -> Vec<ServerView>;
+}
+
+/// Servers and homes of a service, as one instance sees them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Place {
+    /// Servers that the instance owns.
+    pub owned: Vec<Server>,
+    /// All homes but the instance itself.
+    pub others: Vec<InstanceName>,
+    /// Instances of the fleet, this one included.
+    pub fleet: usize,
+}
+
+/// A decision about one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// The request.
+    pub key: WorkKey,
+    /// What is to be done.
+    pub verdict: Verdict,
+    /// Why.
+    pub account: Account,
+}
+
+/// What is to be done with a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Give it to a backend server.
+    Run(Grant),
+    /// Pass it to another home.
+    Pass(InstanceName),
+    /// Refuse it.
+    Refuse(Refusal),
+}
+
+/// Leave to use a slot of a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Grant {
+    /// Name of the server.
+    pub server: ServerName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Connections that may be open to it.
+    pub connections: u32,
+    /// A second server that gets a copy, as evidence; its answer goes to nobody.
+    pub copy: Option<Copy>,
+}
+
+/// Leave to send a copy of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Copy {
+    /// Key to finish the copy with.
+    pub key: WorkKey,
+    /// Name of the server.
+    pub server: ServerName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Connections that may be open to it.
+    pub connections: u32,
+}
+
+/// Why a decision was made.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Account {
+    /// Table version.
+    pub table: TableVersion,
+    /// Place in the order in which this home decided.
+    pub order: u64,
+    /// Fair-queueing tag at which the request was served.
+    pub tag: f64,
+    /// Requests that waited when it came.
+    pub ahead: usize,
+    /// Time it waited.
+    pub waited: Duration,
+    /// Servers or homes that could have been chosen.
+    pub candidates: Vec<Candidate>,
+}
+
+/// A server or home that could have been chosen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Candidate {
+    /// Its name.
+    pub name: std::sync::Arc<str>,
+    /// Free slots.
+    pub free: u32,
+    /// Score; the highest is chosen.
+    pub score: f32,
+}
+
+/// Load that a backend server reports with an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Slots in use there.
+    pub busy: u32,
+}
+
+/// An owned server as operators see it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerView {
+    /// Name of the server.
+    pub name: ServerName,
+    /// State of its health chart.
+    pub state: String,
+    /// Score of the sequential test.
+    pub score: f64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Slots in use by this instance.
+    pub busy: u32,
+    /// Its slots.
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/wb-entry/src/front/mod.rs
@@ -0,0 +1,119 @@
+//! Requests of callers, and work that other instances pass on.
+//!
+//! - [`intake`]: who asks for what, from the request's head.
+//! - [`claim`]: tickets around work that must not repeat.
+//! - [`run`]: decision, attempt, and another attempt where that is allowed.
+//! - [`backend`], [`home`]: one attempt at a backend server, or at another home.
+//! - [`payload`], [`stream`]: bodies on their way in and out.
+//! - [`answer`]: refusals and whole answers.
+//! - [`ask`]: which addresses to use, and tickets.
+
+pub mod answer;
+pub mod ask;
+pub mod backend;
+pub mod claim;
+pub mod header;
+pub mod home;
+pub mod intake;
+pub mod payload;
+pub mod run;
+pub mod stream;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use wb_event::Event;
+use wb_event::emit;
+use wb_http::Body;
+use wb_http::serve::Handler;
+use wb_types::outcome::Refusal;
+
+use crate::Context;
+use crate::front::intake::Intake;
+use crate::metrics::AnswerLabels;
+
+/// Handles requests on the callers' listener.
+pub struct Front {
+    context: Arc<Context>,
+}
+
+/// Counts a request as active until it is dropped.
+struct Active(Arc<Context>);
+
+impl Active {
+    fn new(context: Arc<Context>) -> Self {
+        context.metrics.active.inc();
+        Self(context)
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.metrics.active.dec();
+    }
+}
+
+impl Front {
+    /// A handler for a daemon.
+    pub fn new(context: Arc<Context>) -> Self {
+        Self { context }
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Response<Body> {
+        let context = self.context.clone();
+        let _active = Active::new(context.clone());
+        if request.uri().path().starts_with(ask::PREFIX) {
+            return ask::answer(&context, &request);
+        }
+        let (parts, body) = request.into_parts();
+        let intake = match Intake::read(&context, &parts) {
+            Ok(intake) => Arc::new(intake),
+            Err(refusal) => {
+                let id = context.next_id();
+                return answer::refuse(&id, None, refusal);
+            }
+        };
+        let result = claim::guard(&context, &intake, parts, body).await;
+        self.count(&intake, &result);
+        match result {
+            Ok(response) => answer::mark(response, &intake),
+            Err(refusal) => answer::refuse(&intake.id, Some(&intake), refusal),
+        }
+    }
+
+    fn count(&self, intake: &Intake, result: &Result<Response<Body>, Refusal>) {
+        let result = match result {
+            Ok(response) => {
+                let status = response.status();
+                emit!(Event::Answered, "request={} status={status}", intake.id);
+                "answered".to_owned()
+            }
+            Err(refusal) => refusal.reason.to_string(),
+        };
+        let labels = AnswerLabels {
+            service: intake.row.service.to_string(),
+            class: intake.row.class.to_string(),
+            result,
+        };
+        self.context.metrics.answers.get_or_create(&labels).inc();
+    }
+}
+
+impl Handler for Front {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        async move { self.route(request).await }.boxed()
+    }
+
+    fn failed(&self, peer: SocketAddr, why: &str) {
+        emit!(Event::ConnectionError, "peer={peer} error={why}");
+    }
+}
--- /dev/null
+++ b/crates/wb-entry/src/front/stream.rs
@@ -0,0 +1,148 @@
+//! Bodies that pass through, with bounds on their pauses.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use tokio::time::Sleep;
+use wb_dispatch::policy::Report;
+use wb_http::body::BoxError;
+use wb_types::work::Ending;
+
+use crate::service::Guard;
+
+/// A body that fails when it pauses for too long.
+pub struct Timed<B> {
+    body: B,
+    idle: Duration,
+    pause: Pin<Box<Sleep>>,
+    broken: Arc<AtomicBool>,
+}
+
+impl<B> Timed<B> {
+    /// Bounds the pauses of a body; `broken` is set when it breaks off or pauses for too long.
+    pub fn new(body: B, idle: Duration, broken: Arc<AtomicBool>) -> Self {
+        Self {
+            body,
+            idle,
+            pause: Box::pin(tokio::time::sleep(idle)),
+            broken,
+        }
+    }
+}
+
+impl<B> Body for Timed<B>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<BoxError>,
+{
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let this = &mut *self;
+        match Pin::new(&mut this.body).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                let next = tokio::time::Instant::now() + this.idle;
+                this.pause.as_mut().reset(next);
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(err))) => {
+                this.broken.store(true, Ordering::Relaxed);
+                Poll::Ready(Some(Err(err.into())))
+            }
+            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Pending => {
+                if this.pause.as_mut().poll(cx).is_pending() {
+                    return Poll::Pending;
+                }
+                this.broken.store(true, Ordering::Relaxed);
+                let err = io::Error::new(io::ErrorKind::TimedOut, "body paused for too long");
+                Poll::Ready(Some(Err(err.into())))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Ends a request when the body of its answer has passed through.
+pub struct Guarded<B> {
+    body: B,
+    guard: Option<Guard>,
+    since: Instant,
+    report: Option<Report>,
+}
+
+impl<B> Guarded<B> {
+    /// Ends a request that began at `since` with the body of its answer.
+    pub fn new(body: B, guard: Guard, since: Instant, report: Option<Report>) -> Self {
+        Self {
+            body,
+            guard: Some(guard),
+            since,
+            report,
+        }
+    }
+
+    fn end(&mut self, good: bool) {
+        let Some(guard) = self.guard.take() else {
+            return;
+        };
+        let ending = if good {
+            Ending::Good(self.since.elapsed())
+        } else {
+            Ending::Bad
+        };
+        guard.finish(ending, self.report);
+    }
+}
+
+impl<B> Body for Guarded<B>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(cx));
+        match &frame {
+            Some(Ok(_)) if self.body.is_end_stream() => self.end(true),
+            Some(Ok(_)) => {}
+            Some(Err(_)) => self.end(false),
+            None => self.end(true),
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/wb-entry/src/metrics.rs
@@ -0,0 +1,114 @@
+//! Counters and durations.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+
+/// Labels of answered requests.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct AnswerLabels {
+    /// Service.
+    pub service: String,
+    /// Class of callers.
+    pub class: String,
+    /// `answered`, or the reason of the refusal.
+    pub result: String,
+}
+
+/// Counters and durations of the daemon.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that were ended, by service, class and result.
+    pub answers: Family<AnswerLabels, Counter>,
+    /// Requests in progress.
+    pub active: Gauge,
+    /// Time that the instance itself added to a request.
+    pub added: Histogram,
+    /// Requests tried again.
+    pub retries: Counter,
+    /// Requests passed to another home.
+    pub passed: Counter,
+    /// Backend servers ejected.
+    pub ejections: Counter,
+    /// Version of the policy table in force.
+    pub table: Gauge,
+    /// Tickets held.
+    pub tickets: Gauge,
+    /// Payload bytes sent to and received from other instances.
+    pub control: Gauge,
+    /// Decision records dropped.
+    pub dropped: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("wisteria");
+        let answers = Family::default();
+        registry.register("requests", "Requests that were ended", answers.clone());
+        let active = Gauge::default();
+        registry.register("requests_active", "Requests in progress", active.clone());
+        let added = Histogram::new(exponential_buckets(0.0001, 2.0, 14));
+        registry.register_with_unit(
+            "added_latency",
+            "Time from the head of a request to its first decision",
+            Unit::Seconds,
+            added.clone(),
+        );
+        let retries = Counter::default();
+        registry.register("retries", "Requests tried again", retries.clone());
+        let passed = Counter::default();
+        registry.register("passed", "Requests passed to another home", passed.clone());
+        let ejections = Counter::default();
+        registry.register("ejections", "Backend servers ejected", ejections.clone());
+        let table = Gauge::default();
+        registry.register("table_version", "Policy table in force", table.clone());
+        let tickets = Gauge::default();
+        registry.register("tickets", "Tickets held", tickets.clone());
+        let control = Gauge::default();
+        registry.register_with_unit(
+            "control_traffic",
+            "Payload exchanged with other instances",
+            Unit::Bytes,
+            control.clone(),
+        );
+        let dropped = Gauge::default();
+        registry.register(
+            "records_dropped",
+            "Decision records dropped",
+            dropped.clone(),
+        );
+        Self {
+            registry,
+            answers,
+            active,
+            added,
+            retries,
+            passed,
+            ejections,
+            table,
+            tickets,
+            control,
+            dropped,
+        }
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string does not fail");
+        text
+    }
+}
--- /dev/null
+++ b/crates/wb-entry/src/operators/explain.rs
@@ -0,0 +1,157 @@
+//! Decisions about a request, and whom it was served before and after.
+
+use std::sync::Arc;
+
+use ractor::call_t;
+use serde::Deserialize;
+use serde::Serialize;
+use wb_record::Batch;
+use wb_record::Record;
+use wb_record::chain;
+
+use crate::Context;
+use crate::recorder::RecordMessage;
+
+/// Longest wait for the recorder, in milliseconds.
+const RECORDER_MS: u64 = 1000;
+/// Neighbours that are shown on each side.
+const NEIGHBOURS: u64 = 3;
+/// Hops that are followed.
+const HOPS_MAX: usize = 4;
+
+/// What is known of a request.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Explanation {
+    /// Decisions, in the order in which the request met them.
+    pub decisions: Vec<Decision>,
+    /// What could not be read or does not hold.
+    pub gaps: Vec<String>,
+}
+
+/// One decision, among its neighbours.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Decision {
+    /// Instance that decided.
+    pub instance: String,
+    /// The decision.
+    pub record: Record,
+    /// Decisions of the same instance for the same service just before.
+    pub before: Vec<Record>,
+    /// Decisions of the same instance for the same service just after.
+    pub after: Vec<Record>,
+}
+
+/// Reads the decisions about a request from the instances that it passed.
+pub(super) async fn read(context: &Arc<Context>, request: &str) -> Explanation {
+    let mut explanation = Explanation::default();
+    let Some(first) = issuer(request) else {
+        explanation.gaps.push("not a request id".to_owned());
+        return explanation;
+    };
+    let mut instance = first.to_owned();
+    for _ in 0..HOPS_MAX {
+        let records = records(context, &instance, &mut explanation.gaps).await;
+        let found = records.iter().filter(|record| &*record.request == request);
+        let Some(last) = found.max_by_key(|record| record.order).cloned() else {
+            let gap = format!("no record at {instance}");
+            explanation.gaps.push(gap);
+            return explanation;
+        };
+        let next = (&*last.verdict == "pass").then(|| last.target.to_string());
+        let decision = among(&instance, last, &records);
+        explanation.decisions.push(decision);
+        match next {
+            Some(next) => instance = next,
+            None => return explanation,
+        }
+    }
+    explanation
+}
+
+/// Instance that a request id names.
+fn issuer(request: &str) -> Option<&str> {
+    let (rest, _) = request.rsplit_once('-')?;
+    let (instance, _) = rest.rsplit_once('-')?;
+    Some(instance)
+}
+
+fn among(instance: &str, record: Record, records: &[Record]) -> Decision {
+    let same =
+        |other: &&Record| other.row.service == record.row.service && &*other.verdict == "run";
+    let low = record.order.saturating_sub(NEIGHBOURS);
+    let high = record.order + NEIGHBOURS;
+    let before = records
+        .iter()
+        .filter(same)
+        .filter(|other| other.order < record.order && other.order >= low);
+    let after = records
+        .iter()
+        .filter(same)
+        .filter(|other| other.order > record.order && other.order <= high);
+    Decision {
+        instance: instance.to_owned(),
+        before: before.cloned().collect(),
+        after: after.cloned().collect(),
+        record,
+    }
+}
+
+/// All records of an instance: those in the object store, and its own that are not stored yet.
+async fn records(context: &Arc<Context>, instance: &str, gaps: &mut Vec<String>) -> Vec<Record> {
+    let mut records = Vec::new();
+    let prefix = format!("records/{instance}/");
+    match context.platform.objects(&prefix).await {
+        Ok(names) => {
+            for texts in by_process(context, names, gaps).await {
+                match chain::verify(&texts) {
+                    Ok(batches) => take(batches, &mut records, gaps),
+                    Err(fault) => gaps.push(format!("{instance}: {fault}")),
+                }
+            }
+        }
+        Err(err) => gaps.push(err.to_string()),
+    }
+    if instance == &**context.me() {
+        let recorder = &context.actors().recorder;
+        let recent = call_t!(recorder, RecordMessage::Recent, RECORDER_MS);
+        records.extend(recent.unwrap_or_default());
+    }
+    records
+}
+
+fn take(batches: Vec<Batch>, records: &mut Vec<Record>, gaps: &mut Vec<String>) {
+    for batch in batches {
+        if batch.dropped > 0 {
+            gaps.push(format!(
+                "{} dropped {} records before batch {}",
+                batch.instance, batch.dropped, batch.number
+            ));
+        }
+        records.extend(batch.records);
+    }
+}
+
+/// Texts of batches, by process start.
+async fn by_process(
+    context: &Arc<Context>,
+    names: Vec<String>,
+    gaps: &mut Vec<String>,
+) -> Vec<Vec<String>> {
+    let mut groups: Vec<Vec<String>> = Vec::new();
+    let mut last = String::new();
+    for name in names {
+        let process = name.rsplit_once('/').map_or("", |(process, _)| process);
+        if process != last {
+            last = process.to_owned();
+            groups.push(Vec::new());
+        }
+        match context.platform.object(&name).await {
+            Ok(Some(text)) => groups.last_mut().expect("a group was pushed").push(text),
+            Ok(None) => gaps.push(format!("{name} is missing")),
+            Err(err) => gaps.push(err.to_string()),
+        }
+    }
+    groups
+}
--- /dev/null
+++ b/crates/wb-entry/src/operators/mod.rs
@@ -0,0 +1,161 @@
+//! Operators' calls and metrics.
+//!
+//! | call | answer |
+//! | --- | --- |
+//! | `GET /ready` | 200 or 503, with what is missing |
+//! | `GET /metrics` | OpenMetrics text |
+//! | `GET /status` | [`Status`] |
+//! | `GET /table` | the table in force, as a delta from version 0 without callers |
+//! | `POST /table` | decides an edit |
+//! | `GET /edit/{id}` | what became of an edit |
+//! | `GET /explain/{request}` | the decisions about a request |
+//!
+//! All but the first two need the operators' token.
+
+mod explain;
+mod status;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use ractor::call_t;
+use serde::Serialize;
+use wb_http::Body;
+use wb_http::body;
+use wb_http::serve::Handler;
+use wb_types::policy::Content;
+use wb_types::policy::Edit;
+
+use crate::Context;
+use crate::front::header;
+use crate::rules::RulesMessage;
+
+pub use explain::Explanation;
+pub use status::Ready;
+pub use status::ServiceStatus;
+pub use status::Status;
+
+/// Largest edit, in bytes.
+const EDIT_MAX: usize = 4 * 1024 * 1024;
+/// Longest pause inside the body of a call.
+const IDLE: Duration = Duration::from_secs(5);
+/// Longest wait for the decision of an edit, in milliseconds.
+const EDIT_MS: u64 = 20_000;
+
+/// Handles requests on the operators' listener.
+pub struct Operators {
+    context: Arc<Context>,
+}
+
+impl Operators {
+    /// A handler for a daemon.
+    pub fn new(context: Arc<Context>) -> Self {
+        Self { context }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
+            "/ready" => return status::ready(&self.context),
+            "/metrics" => return self.metrics(),
+            _ => {}
+        }
+        let key = header::text(request.headers(), "authorization");
+        let token = format!("Bearer {}", self.context.settings.tokens.operators);
+        if key != Some(token.as_str()) {
+            return text(StatusCode::UNAUTHORIZED, "the operators' token is needed");
+        }
+        if path == "/table" && request.method() == Method::POST {
+            return self.edit(request.into_body()).await;
+        }
+        if path == "/table" {
+            return self.table();
+        }
+        if path == "/status" {
+            return json(&status::read(&self.context).await);
+        }
+        if let Some(id) = path.strip_prefix("/edit/") {
+            return self.edit_state(id).await;
+        }
+        if let Some(id) = path.strip_prefix("/explain/") {
+            return json(&explain::read(&self.context, id).await);
+        }
+        text(StatusCode::NOT_FOUND, "no such call")
+    }
+
+    fn metrics(&self) -> Response<Body> {
+        let traffic = self.context.peers.traffic();
+        let relaxed = std::sync::atomic::Ordering::Relaxed;
+        let bytes = traffic.sent.load(relaxed) + traffic.received.load(relaxed);
+        self.context.metrics.control.set(bytes as i64);
+        text(StatusCode::OK, &self.context.metrics.text())
+    }
+
+    fn table(&self) -> Response<Body> {
+        let mut delta = self.context.table().since(0);
+        delta
+            .rows
+            .retain(|row| !matches!(row.content, Content::Caller(_)));
+        json(&delta)
+    }
+
+    async fn edit(&self, incoming: Incoming) -> Response<Body> {
+        let read = body::read(incoming, EDIT_MAX, IDLE).await;
+        let Ok(bytes) = read else {
+            return text(
+                StatusCode::BAD_REQUEST,
+                "the edit broke off or is too large",
+            );
+        };
+        let edit: Edit = match serde_json::from_slice(&bytes) {
+            Ok(edit) => edit,
+            Err(err) => return text(StatusCode::BAD_REQUEST, &err.to_string()),
+        };
+        let rules = &self.context.actors().rules;
+        match call_t!(rules, RulesMessage::Edit, EDIT_MS, Box::new(edit)) {
+            Ok(outcome) => json(&outcome),
+            Err(err) => text(StatusCode::SERVICE_UNAVAILABLE, &err.to_string()),
+        }
+    }
+
+    async fn edit_state(&self, id: &str) -> Response<Body> {
+        let rules = &self.context.actors().rules;
+        match call_t!(rules, RulesMessage::EditState, EDIT_MS, id.into()) {
+            Ok(outcome) => json(&outcome),
+            Err(err) => text(StatusCode::SERVICE_UNAVAILABLE, &err.to_string()),
+        }
+    }
+}
+
+impl Handler for Operators {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        async move { self.answer(request).await }.boxed()
+    }
+}
+
+fn text(status: StatusCode, text: &str) -> Response<Body> {
+    let mut response = Response::new(body::full(text.to_owned()));
+    *response.status_mut() = status;
+    response
+}
+
+fn json<T: Serialize>(value: &T) -> Response<Body> {
+    json_with(StatusCode::OK, value)
+}
+
+fn json_with<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let body = serde_json::to_string(value).expect("answers hold only serialisable types");
+    text(status, &body)
+}
--- /dev/null
+++ b/crates/wb-entry/src/service/actor.rs
@@ -0,0 +1,272 @@
+//! Messages of a service's actor.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ractor::Actor;
+use ractor::ActorProcessingErr;
+use ractor::ActorRef;
+use wb_dispatch::Decision;
+use wb_dispatch::Dispatch;
+use wb_dispatch::Naive;
+use wb_dispatch::Options;
+use wb_dispatch::Policy;
+use wb_dispatch::Verdict;
+use wb_event::Event;
+use wb_event::emit;
+use wb_health::Change;
+use wb_types::id::ServiceName;
+use wb_types::work::Ending;
+
+use super::Decided;
+use super::Finish;
+use super::Guard;
+use super::Offer;
+use super::ServiceMessage;
+use super::State;
+use super::Waiting;
+use crate::Context;
+use crate::recorder;
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(20);
+/// Retries as a share of real work.
+const RETRIES: f64 = 0.1;
+/// Copies for evidence as a share of real work.
+const COPIES: f64 = 0.1;
+
+/// Decides for one service.
+struct ServiceActor;
+
+/// What the actor starts with.
+struct Arguments {
+    context: Arc<Context>,
+    service: ServiceName,
+}
+
+/// Starts the actor of a service.
+///
+/// # Errors
+///
+/// Those of the actor library.
+pub async fn spawn(
+    context: Arc<Context>,
+    service: ServiceName,
+) -> Result<ActorRef<ServiceMessage>, ractor::SpawnErr> {
+    let arguments = Arguments { context, service };
+    let (actor, _) = ractor::Actor::spawn(None, ServiceActor, arguments).await?;
+    Ok(actor)
+}
+
+impl Actor for ServiceActor {
+    type Msg = ServiceMessage;
+    type State = State;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        me: ActorRef<ServiceMessage>,
+        arguments: Arguments,
+    ) -> Result<State, ActorProcessingErr> {
+        let Arguments { context, service } = arguments;
+        let policy = new_policy(&context, &service);
+        let mut state = State {
+            context,
+            service,
+            policy,
+            lengths: Default::default(),
+            waiting: HashMap::new(),
+            owned: false,
+            me,
+        };
+        state.take_table();
+        state.me.send_interval(TICK, || ServiceMessage::Tick);
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        _me: ActorRef<ServiceMessage>,
+        message: ServiceMessage,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        state.take(message);
+        state.publish();
+        Ok(())
+    }
+}
+
+fn new_policy(context: &Context, service: &ServiceName) -> Box<dyn Policy> {
+    let settings = &context.settings;
+    let me = settings.instance.name.clone();
+    let seed = context.incarnation;
+    if settings.fleet.naive {
+        return Box::new(Naive::new(me, service.clone(), seed));
+    }
+    Box::new(Dispatch::new(Options {
+        me,
+        domain: settings.instance.domain.clone(),
+        service: service.clone(),
+        retries: RETRIES,
+        copies: COPIES,
+        health: Default::default(),
+        seed,
+    }))
+}
+
+impl State {
+    fn take(&mut self, message: ServiceMessage) {
+        let now = self.context.clock.now();
+        match message {
+            ServiceMessage::Offer(offer) => self.take_offer(*offer),
+            ServiceMessage::Finish(finish) => self.take_finish(finish),
+            ServiceMessage::Table => self.take_table(),
+            ServiceMessage::Place(place) => {
+                self.owned = !place.owned.is_empty();
+                self.policy.place(&place, now);
+                if !self.owned {
+                    let mut loads = self.context.loads.write().expect("no holder panics");
+                    loads.remove(&self.service);
+                }
+            }
+            ServiceMessage::Hear(load) => self.policy.hear(&load, now),
+            ServiceMessage::Unreachable(home) => self.policy.unreachable(&home, now),
+            ServiceMessage::Leaving(server, leaving) => self.policy.set_leaving(&server, leaving),
+            ServiceMessage::Retry(reply) => {
+                let _ = reply.send(self.policy.retry());
+            }
+            ServiceMessage::Servers(reply) => {
+                let _ = reply.send(self.policy.servers());
+            }
+            ServiceMessage::Tick => self.tick(),
+        }
+    }
+
+    fn tick(&mut self) {
+        if !self.owned && self.waiting.is_empty() {
+            return;
+        }
+        let now = self.context.clock.now();
+        self.policy.tick(now);
+        let load = self.policy.load(now);
+        let mut loads = self.context.loads.write().expect("no holder panics");
+        loads.insert(self.service.clone(), load);
+    }
+
+    fn take_offer(&mut self, offer: Offer) {
+        let Offer {
+            mut work,
+            route,
+            size,
+            reply,
+        } = offer;
+        work.length = self.lengths.expect(&route, size, self.policy.median());
+        let now = self.context.clock.now();
+        let key = self.policy.offer(work.clone(), now);
+        let waiting = Waiting { work, route, reply };
+        self.waiting.insert(key, waiting);
+    }
+
+    fn take_finish(&mut self, finish: Finish) {
+        let now = self.context.clock.now();
+        if let (Some(route), Ending::Good(took)) = (&finish.route, finish.ending) {
+            self.lengths.learn(route, took);
+        }
+        self.waiting.remove(&finish.key);
+        self.policy
+            .finish(finish.key, finish.ending, finish.report, now);
+    }
+
+    fn take_table(&mut self) {
+        let table = self.context.table();
+        let rows: Vec<_> = table
+            .rows()
+            .filter(|row| row.key.service == self.service)
+            .cloned()
+            .collect();
+        let floor = table.floor(&self.service);
+        self.policy.set_rows(&rows, table.version(), floor);
+    }
+
+    /// Sends out what was decided.
+    fn publish(&mut self) {
+        for decision in self.policy.decisions() {
+            self.send(decision);
+        }
+        for change in self.policy.changes() {
+            self.note(&change);
+        }
+    }
+
+    fn send(&mut self, decision: Decision) {
+        let key = decision.key;
+        let Some(waiting) = self.waiting.remove(&key) else {
+            return;
+        };
+        self.record(&waiting.work, &decision);
+        let Verdict::Run(grant) = &decision.verdict else {
+            let guard = Guard::new(self.me.clone(), key, None);
+            let _ = waiting.reply.send(Decided {
+                decision,
+                length: waiting.work.length,
+                guard,
+                copy: None,
+            });
+            return;
+        };
+        let copy = grant.copy.as_ref();
+        let copy = copy.map(|copy| Guard::new(self.me.clone(), copy.key, None));
+        let guard = Guard::new(self.me.clone(), key, Some(waiting.route));
+        let _ = waiting.reply.send(Decided {
+            decision,
+            length: waiting.work.length,
+            guard,
+            copy,
+        });
+    }
+
+    fn record(&self, work: &wb_types::work::Work, decision: &Decision) {
+        let record = recorder::record(work, decision);
+        let event = match &decision.verdict {
+            Verdict::Run(_) => Event::Routed,
+            Verdict::Pass(_) => Event::Passed,
+            Verdict::Refuse(_) => Event::Refused,
+        };
+        emit!(
+            event,
+            "request={} service={} class={} caller={} target={} table={} order={} ahead={} waited_us={} candidates={}",
+            work.id,
+            work.row.service,
+            work.row.class,
+            work.caller,
+            record.target,
+            record.table,
+            record.order,
+            record.ahead,
+            record.waited.as_micros(),
+            record.candidates.len()
+        );
+        recorder::add(&self.context, record);
+    }
+
+    fn note(&self, change: &Change) {
+        let event = if change.floor {
+            Event::FloorHeld
+        } else {
+            Event::Health
+        };
+        if change.to == "ejected" {
+            self.context.metrics.ejections.inc();
+        }
+        emit!(
+            event,
+            "service={} server={} from={} to={} score={:.1}",
+            self.service,
+            change.server,
+            change.from,
+            change.to,
+            change.score
+        );
+    }
+}
--- /dev/null
+++ b/crates/wb-event/src/lib.rs
@@ -0,0 +1,24 @@
+//! Numbered log events.
+//!
+//! Every line that the fleet logs carries the number and name of an [`Event`].
+//! `docs/EVENTS.md` explains each number.
+
+mod event;
+
+pub use event::Event;
+
+/// Logs an event: `wb_event::emit!(Event::Routed, "request={id} server={server}")`.
+#[macro_export]
+macro_rules! emit {
+    ($event:expr, $($arg:tt)+) => {{
+        let event: $crate::Event = $event;
+        ::log::log!(
+            target: "wisteria",
+            event.level(),
+            "E{:03} {} {}",
+            event.number(),
+            event,
+            format_args!($($arg)+)
+        )
+    }};
+}
--- /dev/null
+++ b/crates/wb-health/src/ward/access.rs
@@ -0,0 +1,104 @@
+//! What the choice of a server asks.
+
+use std::time::Duration;
+
+use wb_types::id::Moment;
+
+use super::Patient;
+use super::ServerKey;
+use super::Ward;
+use crate::floor::Capacity;
+
+/// Share of its slots that a server gets at the start of its warm-up.
+const COLD_SHARE: f64 = 0.2;
+
+impl Patient {
+    /// Whether the chart has the server in rotation.
+    pub(super) fn in_rotation(&self) -> bool {
+        matches!(self.machine.state(), "healthy" | "suspect")
+    }
+
+    fn warmth(&self, now: Moment, warmup: Duration) -> f64 {
+        let left = self.warm.saturating_sub(now).as_secs_f64();
+        let done = 1.0 - left / warmup.as_secs_f64();
+        COLD_SHARE + (1.0 - COLD_SHARE) * done
+    }
+}
+
+impl Ward {
+    /// Keys of all servers.
+    pub fn keys(&self) -> impl Iterator<Item = ServerKey> {
+        self.servers.keys()
+    }
+
+    /// Whether real work may go to a server.
+    pub fn serves(&self, key: ServerKey) -> bool {
+        let server = self.servers.get(key);
+        server.is_some_and(|server| !server.leaving && server.in_rotation())
+    }
+
+    /// Whether copies of idempotent work are wanted as evidence about a server.
+    pub fn wants_copies(&self, key: ServerKey) -> bool {
+        let Some(server) = self.servers.get(key) else {
+            return false;
+        };
+        !server.leaving && matches!(server.machine.state(), "suspect" | "trial")
+    }
+
+    /// Whether a server is leaving.
+    pub fn is_leaving(&self, key: ServerKey) -> bool {
+        self.servers.get(key).is_some_and(|server| server.leaving)
+    }
+
+    /// Slots of a server that may be used now: fewer while it warms up, at least 1.
+    pub fn usable(&self, key: ServerKey, now: Moment) -> u32 {
+        let Some(server) = self.servers.get(key) else {
+            return 0;
+        };
+        let share = server.warmth(now, self.options.warmup);
+        let usable = (f64::from(server.slots) * share).floor();
+        (usable as u32).clamp(1, server.slots.max(1))
+    }
+
+    /// State of a server's chart.
+    pub fn state(&self, key: ServerKey) -> &str {
+        let server = self.servers.get(key);
+        server.map_or("gone", |server| server.machine.state())
+    }
+
+    /// Score of a server.
+    pub fn score(&self, key: ServerKey) -> f64 {
+        self.servers
+            .get(key)
+            .map_or(0.0, |server| server.score.value())
+    }
+
+    /// Median duration of short work.
+    pub fn median(&self) -> Option<Duration> {
+        self.baseline.median()
+    }
+
+    /// Time after which short work in flight is overdue.
+    pub fn overdue(&self) -> Duration {
+        match self.baseline.median() {
+            Some(median) => median.mul_f64(self.options.slow).max(self.options.overdue),
+            None => Duration::from_secs(1),
+        }
+    }
+
+    /// Slots of servers that can take work now.
+    pub fn healthy_slots(&self, now: Moment) -> u32 {
+        crate::floor::serving(&self.capacities(now))
+    }
+
+    /// Each server as the floor counts it; those not settled yet are not counted.
+    pub fn capacities(&self, now: Moment) -> Vec<Capacity> {
+        let settled = self.servers.values().filter(|server| server.settled <= now);
+        settled
+            .map(|server| Capacity {
+                slots: server.slots,
+                serves: server.in_rotation() && !server.leaving && server.warm <= now,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/wb-http/src/pool/mod.rs
@@ -0,0 +1,148 @@
+//! Connections to servers.
+//!
+//! A request is handed to one connection, once. Only a request of which no byte was handed over
+//! comes back as [`SendError::Unsent`]. A connection whose answer was abandoned is not used again.
+
+mod answer;
+mod connect;
+mod send;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Request;
+use http::Response;
+use hyper::client::conn::http1::SendRequest;
+
+use crate::Body;
+
+pub use answer::Answer;
+pub(crate) use connect::tune;
+
+/// Settings of a [`Pool`].
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Longest time that a connection waits unused.
+    pub idle: Duration,
+    /// Time after which the system gives up a connection whose peer acknowledges nothing.
+    pub silence: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(1000),
+            idle: Duration::from_secs(10),
+            silence: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Why there is no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// No byte of the request was handed over.
+    #[error("not sent: {why}")]
+    Unsent {
+        /// The request, unchanged.
+        request: Box<Request<Body>>,
+        /// What went wrong.
+        why: String,
+    },
+    /// The request was handed over, and no head of an answer came.
+    #[error("no answer: {0}")]
+    Lost(String),
+}
+
+/// A connection that waits for its next request.
+struct Idle {
+    sender: SendRequest<Body>,
+    guard: OpenGuard,
+    since: Instant,
+}
+
+/// Connections to one server.
+#[derive(Default)]
+struct Host {
+    idle: Vec<Idle>,
+    open: u32,
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenGuard {
+    inner: Arc<Inner>,
+    address: SocketAddr,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let mut hosts = self.inner.hosts.lock().expect("no holder panics");
+        if let Some(host) = hosts.get_mut(&self.address) {
+            host.open -= 1;
+        }
+    }
+}
+
+struct Inner {
+    options: Options,
+    hosts: Mutex<HashMap<SocketAddr, Host>>,
+}
+
+/// Connections to servers, by address.
+#[derive(Clone)]
+pub struct Pool {
+    inner: Arc<Inner>,
+}
+
+/// What a request is sent with.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Connections that may be open to the server.
+    pub connections: u32,
+    /// Whether a connection must not have waited unused for long: it may have gone silent.
+    pub fresh: bool,
+}
+
+/// Head of an answer; its body gives the connection back once it is read whole.
+pub type Reply = Response<Answer>;
+
+impl Pool {
+    /// A pool without connections.
+    pub fn new(options: Options) -> Self {
+        let inner = Inner {
+            options,
+            hosts: Mutex::default(),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Connections open to a server.
+    pub fn open(&self, address: SocketAddr) -> u32 {
+        let hosts = self.inner.hosts.lock().expect("no holder panics");
+        hosts.get(&address).map_or(0, |host| host.open)
+    }
+
+    /// Closes connections that have waited unused for too long.
+    pub fn sweep(&self) {
+        let limit = self.inner.options.idle;
+        let mut old = Vec::new();
+        let mut hosts = self.inner.hosts.lock().expect("no holder panics");
+        for host in hosts.values_mut() {
+            let (stale, fresh) = std::mem::take(&mut host.idle)
+                .into_iter()
+                .partition(|idle| idle.since.elapsed() > limit || idle.sender.is_closed());
+            host.idle = fresh;
+            old.extend::<Vec<Idle>>(stale);
+        }
+        drop(hosts);
+        drop(old);
+    }
+}
--- /dev/null
+++ b/crates/wb-http/src/serve.rs
@@ -0,0 +1,130 @@
+//! Listeners for HTTP/1.1 and HTTP/2.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+
+use crate::Body;
+use crate::pool::tune;
+
+/// Largest head of a request, in bytes.
+const HEAD_MAX: usize = 64 * 1024;
+/// Pause after a failed accept, e.g. when file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers requests.
+pub trait Handler: Send + Sync {
+    /// Answers one request of a peer.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>>;
+
+    /// Hears of a connection that ended with an error.
+    fn failed(&self, _peer: SocketAddr, _why: &str) {}
+}
+
+/// Settings of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Connections open at a time; more wait to be accepted.
+    pub connections: usize,
+    /// Longest time for the head of a request.
+    pub head: Duration,
+    /// Time after which the system gives up a connection whose peer acknowledges nothing.
+    pub silence: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            head: Duration::from_secs(5),
+            silence: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Serves until `stop` turns true, then finishes all requests in progress and returns.
+pub async fn serve(
+    listener: TcpListener,
+    options: Options,
+    handler: Arc<dyn Handler>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let graceful = GracefulShutdown::new();
+    let room = Arc::new(Semaphore::new(options.connections));
+    loop {
+        let permit = room.clone().acquire_owned().await;
+        let permit = permit.expect("the semaphore is never closed");
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let connection = connection(stream, peer, options, handler.clone(), &graceful);
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    options: Options,
+    handler: Arc<dyn Handler>,
+    graceful: &GracefulShutdown,
+) -> impl Future<Output = ()> + use<> {
+    let tuned = tune(&stream, options.silence);
+    let answers = handler.clone();
+    let service = service_fn(move |request| {
+        let answer = answers.clone().handle(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(options.head)
+        .max_buf_size(HEAD_MAX)
+        .half_close(false);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(options.silence / 3)
+        .max_header_list_size(HEAD_MAX as u32);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let watched = graceful.watch(connection.into_owned());
+    async move {
+        if let Err(err) = tuned {
+            handler.failed(peer, &err.to_string());
+        }
+        if let Err(err) = watched.await {
+            handler.failed(peer, &err.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/crates/wb-load/src/lib.rs
@@ -0,0 +1,15 @@
+//! Load and experiment tool.
+//!
+//! - [`deploy`]: deployment files.
+//! - [`fleet`]: a small fleet of real processes.
+//! - [`caller`]: a caller that asks for addresses, keeps them, and checks every answer.
+//! - [`demo`], [`mixed`], [`soak`]: runs with one purpose each.
+//! - [`experiment`]: runs described by a file, with faults and comparison.
+
+pub mod caller;
+pub mod demo;
+pub mod deploy;
+pub mod experiment;
+pub mod fleet;
+pub mod mixed;
+pub mod soak;
--- /dev/null
+++ b/crates/wb-members/src/members/merge.rs
@@ -0,0 +1,117 @@
+//! Taking and giving news.
+
+use wb_types::id::Moment;
+use wb_types::member::Liveness;
+use wb_types::member::MemberNews;
+
+use super::Change;
+use super::Members;
+use super::Rumour;
+
+/// Tellings of one piece of news, as a multiple of the logarithm of the fleet's size.
+const TELL_FACTOR: u32 = 3;
+
+impl Members {
+    /// Takes news; gives what changed.
+    pub fn hear(&mut self, news: &[MemberNews], now: Moment) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for item in news {
+            if item.name == self.me.name {
+                self.hear_of_me(item);
+            } else {
+                changes.extend(self.put(item.clone(), now));
+            }
+        }
+        changes
+    }
+
+    /// Takes the news that a sender gives of itself. A sender that is held for suspect or dead is
+    /// told so with the next message, so that it can refute.
+    pub fn hear_from(&mut self, sender: &MemberNews, now: Moment) -> Vec<Change> {
+        let known = self.others.get(&sender.name).map(|member| &member.news);
+        if let Some(known) = known.filter(|known| rank(known) > rank(sender)) {
+            self.spread(known.clone());
+        }
+        self.hear(std::slice::from_ref(sender), now)
+    }
+
+    /// News of the instance itself.
+    pub fn me(&self) -> &MemberNews {
+        &self.me
+    }
+
+    /// News for one message: what was told least first. Each piece is told a number of times
+    /// that grows with the logarithm of the fleet's size.
+    pub fn news(&mut self) -> Vec<MemberNews> {
+        let limit = self.tellings();
+        self.rumours.sort_by_key(|rumour| rumour.told);
+        let mut news = Vec::new();
+        for rumour in self.rumours.iter_mut().take(self.options.batch) {
+            rumour.told += 1;
+            news.push(rumour.news.clone());
+        }
+        self.rumours.retain(|rumour| rumour.told < limit);
+        news
+    }
+
+    /// Says that the instance leaves.
+    pub fn leave(&mut self) {
+        self.me.liveness = Liveness::Left;
+        self.me.round += 1;
+        let news = self.me.clone();
+        self.spread(news);
+    }
+
+    /// Refutes a rumour about the instance itself.
+    fn hear_of_me(&mut self, news: &MemberNews) {
+        let newer = (news.incarnation, news.round) >= (self.me.incarnation, self.me.round);
+        if !newer || *news == self.me {
+            return;
+        }
+        if news.incarnation > self.me.incarnation {
+            self.me.incarnation = news.incarnation + 1;
+        }
+        if news.liveness == self.me.liveness && news.round == self.me.round {
+            return;
+        }
+        self.me.round = self.me.round.max(news.round) + 1;
+        let news = self.me.clone();
+        self.spread(news);
+    }
+
+    pub(super) fn put(&mut self, news: MemberNews, now: Moment) -> Option<Change> {
+        let Some(member) = self.others.get_mut(&news.name) else {
+            self.unlisted.insert(news.name.clone(), news);
+            return None;
+        };
+        if rank(&news) <= rank(&member.news) {
+            return None;
+        }
+        let before = member.news.liveness;
+        member.news = news.clone();
+        let change = (before != news.liveness).then(|| Change {
+            name: news.name.clone(),
+            liveness: news.liveness,
+        });
+        if change.is_some() {
+            member.since = now;
+        }
+        self.spread(news);
+        change
+    }
+
+    pub(super) fn spread(&mut self, news: MemberNews) {
+        self.rumours.retain(|rumour| rumour.news.name != news.name);
+        self.rumours.push(Rumour { news, told: 0 });
+    }
+
+    fn tellings(&self) -> u32 {
+        let size = self.others.len() as u32 + 2;
+        TELL_FACTOR * size.ilog2().max(1)
+    }
+}
+
+/// Order of news about one member: the highest is believed.
+fn rank(news: &MemberNews) -> (u64, u32, Liveness) {
+    (news.incarnation, news.round, news.liveness)
+}
--- /dev/null
+++ b/crates/wb-members/src/members/mod.rs
@@ -0,0 +1,72 @@
+//! Which instances are alive.
+
+mod access;
+mod init;
+mod merge;
+mod probe;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use wb_types::id::InstanceName;
+use wb_types::id::Moment;
+use wb_types::member::Liveness;
+use wb_types::member::MemberNews;
+use wb_types::roster::Instance;
+
+/// Settings of [`Members`].
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The instance itself.
+    pub me: Instance,
+    /// Number of this process start; a later start has a higher one.
+    pub incarnation: wb_types::id::Incarnation,
+    /// Time that a suspect has to refute.
+    pub suspicion: Duration,
+    /// Time without an answer to any probe after which the instance counts itself as isolated.
+    pub isolation: Duration,
+    /// Pieces of news in one message.
+    pub batch: usize,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// A change of liveness.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// The member.
+    pub name: InstanceName,
+    /// Its liveness now.
+    pub liveness: Liveness,
+}
+
+/// What is known of one other instance.
+#[derive(Clone, Debug)]
+struct Member {
+    news: MemberNews,
+    instance: Instance,
+    since: Moment,
+    listed: bool,
+}
+
+/// News that is still to be told.
+#[derive(Clone, Debug)]
+struct Rumour {
+    news: MemberNews,
+    told: u32,
+}
+
+/// The membership as one instance sees it.
+#[derive(Debug)]
+pub struct Members {
+    options: Options,
+    me: MemberNews,
+    others: BTreeMap<InstanceName, Member>,
+    unlisted: BTreeMap<InstanceName, MemberNews>,
+    rumours: Vec<Rumour>,
+    round: Vec<InstanceName>,
+    answered: Moment,
+    tried: u32,
+    rng: SmallRng,
+}
--- /dev/null
+++ b/crates/wb-members/src/place/heirs.rs
@@ -0,0 +1,15 @@
+//! Heirs of an instance that leaves.
+
+use wb_types::roster::Instance;
+
+use super::hash::weight;
+
+/// Instances that may take over what a leaving instance holds, the likeliest first.
+pub fn heirs(leaver: &str, live: &[Instance], count: usize) -> Vec<Instance> {
+    let mut others: Vec<&Instance> = live
+        .iter()
+        .filter(|instance| &*instance.name != leaver)
+        .collect();
+    others.sort_by_key(|other| std::cmp::Reverse(weight(leaver, &other.name)));
+    others.into_iter().take(count).cloned().collect()
+}
--- /dev/null
+++ b/crates/wb-peer/src/thread/mod.rs
@@ -0,0 +1,117 @@
+//! The thread that holds the connections.
+
+mod answer;
+mod ask;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio_util::compat::TokioAsyncWriteCompatExt;
+
+use crate::Peers;
+use crate::Service;
+use crate::call::Call;
+use crate::call::Traffic;
+use crate::peer_capnp::peer;
+
+/// A connection to a peer.
+#[derive(Clone)]
+struct Link {
+    client: peer::Client,
+    serial: u64,
+}
+
+/// Connections to peers, by address.
+#[derive(Default)]
+struct Links {
+    open: RefCell<HashMap<SocketAddr, Link>>,
+    serial: RefCell<u64>,
+}
+
+/// Calls and listener before the thread runs.
+pub struct Pending {
+    calls: mpsc::UnboundedReceiver<Call>,
+    traffic: Arc<Traffic>,
+}
+
+/// Makes the calling side; calls wait until [`start`].
+pub fn channel() -> (Peers, Pending) {
+    let (sender, calls) = mpsc::unbounded_channel();
+    let traffic = Arc::new(Traffic::default());
+    let peers = Peers {
+        calls: sender,
+        traffic: traffic.clone(),
+    };
+    (peers, Pending { calls, traffic })
+}
+
+/// Starts the thread: answers calls on the listener and makes calls.
+///
+/// # Errors
+///
+/// When the system gives no thread or runtime.
+pub fn start(
+    listener: std::net::TcpListener,
+    service: Arc<dyn Service>,
+    pending: Pending,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let run = move || {
+        let local = LocalSet::new();
+        local.block_on(&runtime, run(listener, service, pending));
+    };
+    thread::Builder::new().name("peers".to_owned()).spawn(run)?;
+    Ok(())
+}
+
+async fn run(listener: std::net::TcpListener, service: Arc<dyn Service>, pending: Pending) {
+    let Ok(listener) = TcpListener::from_std(listener) else {
+        return;
+    };
+    let traffic = pending.traffic.clone();
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let server = answer::Server::new(service.clone(), traffic.clone());
+            spawn_local(serve(stream, server));
+        }
+    });
+    let links = Rc::new(Links::default());
+    let mut calls = pending.calls;
+    while let Some(call) = calls.recv().await {
+        spawn_local(ask::run(links.clone(), pending.traffic.clone(), call));
+    }
+}
+
+async fn serve(stream: TcpStream, server: answer::Server) {
+    let client: peer::Client = capnp_rpc::new_client(server);
+    let network = network(stream, Side::Server);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let _ = system.await;
+}
+
+fn network(stream: TcpStream, side: Side) -> VatNetwork<impl futures::AsyncRead + Unpin> {
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    VatNetwork::new(
+        read.compat(),
+        write.compat_write(),
+        side,
+        Default::default(),
+    )
+}
--- /dev/null
+++ b/crates/wb-platform/src/remote/mod.rs
@@ -0,0 +1,92 @@
+//! The platform over HTTP.
+
+mod calls;
+mod rows;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use wb_http::call::Target;
+use wb_types::id::TableVersion;
+use wb_types::policy::Content;
+use wb_types::policy::Delta;
+use wb_types::roster::Roster;
+
+use crate::Claimed;
+use crate::Committed;
+use crate::EditState;
+use crate::Error;
+use crate::Platform;
+use crate::port::RowCheck;
+
+/// The platform at an address.
+#[derive(Clone)]
+pub struct Remote {
+    target: Target,
+}
+
+impl Remote {
+    /// The platform behind a target.
+    pub fn new(target: Target) -> Self {
+        Self { target }
+    }
+}
+
+impl Platform for Remote {
+    fn roster(&self) -> BoxFuture<'_, Result<Roster, Error>> {
+        self.get_json("/v1/list").boxed()
+    }
+
+    fn changes(&self, after: TableVersion) -> BoxFuture<'_, Result<Delta, Error>> {
+        self.read_changes(after).boxed()
+    }
+
+    fn commit(
+        &self,
+        edit: &str,
+        checks: Vec<RowCheck>,
+        contents: Vec<Content>,
+    ) -> BoxFuture<'_, Result<Committed, Error>> {
+        let transaction = rows::transaction(edit, &checks, &contents);
+        async move { self.transact(&transaction?).await }.boxed()
+    }
+
+    fn edit(&self, edit: &str) -> BoxFuture<'_, Result<EditState, Error>> {
+        let path = format!("/v1/tables/{}/{edit}", rows::EDITS);
+        async move { Ok(rows::edit_state(self.row(&path).await?)) }.boxed()
+    }
+
+    fn bar(&self, edit: &str) -> BoxFuture<'_, Result<Committed, Error>> {
+        let transaction = rows::bar(edit);
+        async move { self.transact(&transaction).await }.boxed()
+    }
+
+    fn claim(&self, key: &str, text: &str) -> BoxFuture<'_, Result<Claimed, Error>> {
+        let key = key.to_owned();
+        let text = text.to_owned();
+        async move { self.claim_key(key, text).await }.boxed()
+    }
+
+    fn settle(&self, key: &str, text: &str) -> BoxFuture<'_, Result<(), Error>> {
+        let transaction = rows::settle(key, text);
+        async move { self.transact(&transaction).await.map(|_| ()) }.boxed()
+    }
+
+    fn put_object(&self, path: &str, text: String) -> BoxFuture<'_, Result<(), Error>> {
+        let path = format!("/v1/objects/{path}");
+        async move { self.put(&path, text).await }.boxed()
+    }
+
+    fn object(&self, path: &str) -> BoxFuture<'_, Result<Option<String>, Error>> {
+        let path = format!("/v1/objects/{path}");
+        async move { self.text(&path).await }.boxed()
+    }
+
+    fn objects(&self, prefix: &str) -> BoxFuture<'_, Result<Vec<String>, Error>> {
+        let path = format!("/v1/objects?prefix={prefix}");
+        async move {
+            let names: crate::protocol::Names = self.get_json(&path).await?;
+            Ok(names.names)
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/wb-settings/src/entry/read.rs
@@ -0,0 +1,149 @@
+//! Reading entry settings.
+
+use std::time::Duration;
+
+use super::Bounds;
+use super::Fleet;
+use super::InstanceSettings;
+use super::Listen;
+use super::PlatformSettings;
+use super::Settings;
+use super::Tokens;
+use crate::Finding;
+use crate::read::Section;
+use crate::read::document;
+
+/// Default longest wait for the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_millis(500);
+/// Default time between two looks at the platform.
+const PLATFORM_POLL: Duration = Duration::from_millis(1000);
+/// Default number of homes of a service.
+const HOMES: usize = 4;
+/// Default time between two membership probes.
+const PROBE: Duration = Duration::from_millis(250);
+/// Default time between two exchanges among homes.
+const EXCHANGE: Duration = Duration::from_millis(100);
+/// Default number of callers' connections.
+const CONNECTIONS: usize = 4096;
+/// Default longest time for the head of a request.
+const HEAD: Duration = Duration::from_secs(5);
+/// Default longest pause inside a body.
+const IDLE: Duration = Duration::from_secs(10);
+/// Shortest token that is accepted, in bytes.
+const TOKEN_MIN: usize = 8;
+
+impl Settings {
+    /// Reads settings.
+    ///
+    /// # Errors
+    ///
+    /// All findings, each with file, line and column.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Finding>> {
+        document(file, text, |root| {
+            let instance = root.section("instance", instance);
+            let listen = root.section("listen", listen);
+            let platform = root.section("platform", platform);
+            let tokens = root.section("tokens", tokens);
+            let fleet = root.section("fleet", fleet);
+            let bounds = root.section("bounds", bounds);
+            Some(Self {
+                instance: instance?,
+                listen: listen?,
+                platform: platform?,
+                tokens: tokens?,
+                fleet: fleet?,
+                bounds: bounds?,
+            })
+        })
+    }
+}
+
+fn instance(section: &mut Section<'_>) -> Option<InstanceSettings> {
+    let name = section.value::<String>("name");
+    let domain = section.value::<String>("domain");
+    if name.as_deref() == Some("") {
+        section.fault("name", "must not be empty");
+    }
+    Some(InstanceSettings {
+        name: name?.into(),
+        domain: domain?.into(),
+    })
+}
+
+fn listen(section: &mut Section<'_>) -> Option<Listen> {
+    let callers = section.value("callers");
+    let peers = section.value("peers");
+    let operators = section.value("operators");
+    if callers.is_some() && callers == operators {
+        section.fault("operators", "must differ from `callers`");
+    }
+    if peers.is_some() && (peers == callers || peers == operators) {
+        section.fault("peers", "must differ from `callers` and `operators`");
+    }
+    Some(Listen {
+        callers: callers?,
+        peers: peers?,
+        operators: operators?,
+    })
+}
+
+fn platform(section: &mut Section<'_>) -> Option<PlatformSettings> {
+    let address = section.value("address");
+    let timeout = section.millis_or("timeout_ms", PLATFORM_TIMEOUT);
+    let poll = section.millis_or("poll_ms", PLATFORM_POLL);
+    Some(PlatformSettings {
+        address: address?,
+        timeout: timeout?,
+        poll: poll?,
+    })
+}
+
+fn tokens(section: &mut Section<'_>) -> Option<Tokens> {
+    let operators = token(section, "operators");
+    let peers = token(section, "peers");
+    Some(Tokens {
+        operators: operators?,
+        peers: peers?,
+    })
+}
+
+fn token(section: &mut Section<'_>, key: &'static str) -> Option<String> {
+    let token = section.value::<String>(key)?;
+    if token.len() < TOKEN_MIN {
+        section.fault(key, "must have at least 8 characters");
+        return None;
+    }
+    Some(token)
+}
+
+fn fleet(section: &mut Section<'_>) -> Option<Fleet> {
+    let homes = section.value_or("homes", HOMES);
+    let probe = section.millis_or("probe_ms", PROBE);
+    let exchange = section.millis_or("exchange_ms", EXCHANGE);
+    let seeds = section.list("seeds");
+    let naive = section.value_or("naive", false);
+    if homes == Some(0) {
+        section.fault("homes", "must be above 0");
+    }
+    Some(Fleet {
+        homes: homes?,
+        probe: probe?,
+        exchange: exchange?,
+        seeds: seeds?,
+        naive: naive?,
+    })
+}
+
+fn bounds(section: &mut Section<'_>) -> Option<Bounds> {
+    let connections = section.value_or("connections", CONNECTIONS);
+    let head = section.millis_or("head_ms", HEAD);
+    let idle = section.millis_or("idle_ms", IDLE);
+    if connections == Some(0) {
+        section.fault("connections", "must be above 0");
+    }
+    Some(Bounds {
+        connections: connections?,
+        head: head?,
+        idle: idle?,
+    })
+}
--- /dev/null
+++ b/crates/wb-settings/src/read/section.rs
@@ -0,0 +1,162 @@
+//! One mapping of a settings file.
+
+use std::collections::BTreeSet;
+use std::fmt::Display;
+use std::str::FromStr;
+use std::time::Duration;
+
+use marked_yaml::Node;
+use marked_yaml::types::MarkedMappingNode;
+
+use super::Finding;
+
+/// A mapping that is being read. Keys that nothing asked for become findings in
+/// [`Section::finish`].
+pub struct Section<'a> {
+    file: &'a str,
+    mapping: &'a MarkedMappingNode,
+    findings: &'a mut Vec<Finding>,
+    asked: BTreeSet<&'static str>,
+}
+
+impl<'a> Section<'a> {
+    /// Starts to read a mapping.
+    pub fn new(
+        file: &'a str,
+        mapping: &'a MarkedMappingNode,
+        findings: &'a mut Vec<Finding>,
+    ) -> Self {
+        Self {
+            file,
+            mapping,
+            findings,
+            asked: BTreeSet::new(),
+        }
+    }
+
+    /// Reads a mapping below this one. A missing one is a finding.
+    pub fn section<T>(
+        &mut self,
+        key: &'static str,
+        read: impl FnOnce(&mut Section<'_>) -> Option<T>,
+    ) -> Option<T> {
+        let node = self.required(key)?;
+        let Node::Mapping(mapping) = node else {
+            self.add(node, format!("`{key}` must be a mapping"));
+            return None;
+        };
+        let mut section = Section::new(self.file, mapping, self.findings);
+        let value = read(&mut section);
+        section.finish();
+        value
+    }
+
+    /// Reads a value. A missing or malformed one is a finding.
+    pub fn value<T>(&mut self, key: &'static str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let node = self.required(key)?;
+        self.parse(key, node)
+    }
+
+    /// Reads a value that may be missing.
+    pub fn value_or<T>(&mut self, key: &'static str, default: T) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match self.optional(key) {
+            Some(node) => self.parse(key, node),
+            None => Some(default),
+        }
+    }
+
+    /// Reads a time in milliseconds that may be missing; 0 is a finding.
+    pub fn millis_or(&mut self, key: &'static str, default: Duration) -> Option<Duration> {
+        let Some(node) = self.optional(key) else {
+            return Some(default);
+        };
+        let millis: u64 = self.parse(key, node)?;
+        if millis == 0 {
+            self.add(node, format!("`{key}` must be above 0"));
+            return None;
+        }
+        Some(Duration::from_millis(millis))
+    }
+
+    /// Reads a list of values that may be missing.
+    pub fn list<T>(&mut self, key: &'static str) -> Option<Vec<T>>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some(node) = self.optional(key) else {
+            return Some(Vec::new());
+        };
+        let Node::Sequence(items) = node else {
+            self.add(node, format!("`{key}` must be a list"));
+            return None;
+        };
+        let values: Vec<Option<T>> = items.iter().map(|item| self.parse(key, item)).collect();
+        values.into_iter().collect()
+    }
+
+    /// Adds a finding about a key that was read.
+    pub fn fault(&mut self, key: &'static str, text: &str) {
+        if let Some(node) = self.optional(key) {
+            self.add(node, format!("`{key}` {text}"));
+        }
+    }
+
+    /// Ends the reading: every key that nothing asked for is a finding.
+    pub fn finish(self) {
+        for (key, _) in self.mapping.iter() {
+            if self.asked.contains(key.as_str()) {
+                continue;
+            }
+            let text = format!("unknown key `{}`", key.as_str());
+            let finding = Finding::new(self.file, key.span().start(), text);
+            self.findings.push(finding);
+        }
+    }
+
+    fn optional(&mut self, key: &'static str) -> Option<&'a Node> {
+        self.asked.insert(key);
+        self.mapping.get_node(key)
+    }
+
+    fn required(&mut self, key: &'static str) -> Option<&'a Node> {
+        let node = self.optional(key);
+        if node.is_none() {
+            let place = self.mapping.span().start();
+            let finding = Finding::new(self.file, place, format!("`{key}` is missing"));
+            self.findings.push(finding);
+        }
+        node
+    }
+
+    fn parse<T>(&mut self, key: &str, node: &Node) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some(scalar) = node.as_scalar() else {
+            self.add(node, format!("`{key}` must be a single value"));
+            return None;
+        };
+        match scalar.as_str().parse() {
+            Ok(value) => Some(value),
+            Err(err) => {
+                self.add(node, format!("`{key}`: `{}`: {err}", scalar.as_str()));
+                None
+            }
+        }
+    }
+
+    fn add(&mut self, node: &Node, text: String) {
+        let finding = Finding::new(self.file, node.span().start(), text);
+        self.findings.push(finding);
+    }
+}
--- /dev/null
+++ b/crates/wb-stand/src/bin/stand_backend.rs
@@ -0,0 +1,103 @@
+//! Backend servers as one process.
+//!
+//! Besides the servers' own addresses it listens on one for control:
+//! `POST /control/knobs/{service}/{server}`, `GET /control/ledger`, `GET /control/stats`.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eyre::Context;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use wb_http::Body;
+use wb_http::serve;
+use wb_http::serve::Handler;
+use wb_stand::backend::Backend;
+use wb_stand::backend::Ledger;
+use wb_stand::reply;
+use wb_types::roster::Roster;
+
+mod flags {
+    use std::net::SocketAddr;
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Stand-in for backend servers: plays every server of a roster.
+        cmd stand-backend {
+            /// Address for control.
+            required --control address: SocketAddr
+            /// File with the list of instances and backend servers, in JSON.
+            required --roster file: PathBuf
+        }
+    }
+}
+
+/// Control of all servers of the process.
+struct Control {
+    servers: HashMap<String, Arc<Backend>>,
+    ledger: Arc<Ledger>,
+}
+
+impl Control {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        if path == "/control/ledger" {
+            return reply::json(StatusCode::OK, &self.ledger.counts());
+        }
+        if path == "/control/stats" {
+            let stats: Vec<_> = self.servers.values().map(|server| server.stats()).collect();
+            return reply::json(StatusCode::OK, &stats);
+        }
+        let name = path.strip_prefix("/control/knobs/").unwrap_or_default();
+        let Some(server) = self.servers.get(name) else {
+            return reply::status(StatusCode::NOT_FOUND);
+        };
+        match reply::read(request.into_body()).await {
+            Ok(knobs) => {
+                server.set(knobs);
+                reply::status(StatusCode::OK)
+            }
+            Err(answer) => answer,
+        }
+    }
+}
+
+impl Handler for Control {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        async move { self.answer(request).await }.boxed()
+    }
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    env_logger::init();
+    let flags = flags::StandBackend::from_env_or_exit();
+    let text = std::fs::read_to_string(&flags.roster).wrap_err("the roster can't be read")?;
+    let roster: Roster = serde_json::from_str(&text).wrap_err("the roster is malformed")?;
+    let ledger = Arc::new(Ledger::default());
+    let (_stop, stopped) = watch::channel(false);
+    let mut servers = HashMap::new();
+    for server in roster.servers {
+        let listener = TcpListener::bind(server.address).await?;
+        let name = format!("{}/{}", server.service, server.name);
+        let backend = Arc::new(Backend::new(server, ledger.clone()));
+        servers.insert(name, backend.clone());
+        let options = serve::Options::default();
+        tokio::spawn(serve::serve(listener, options, backend, stopped.clone()));
+    }
+    let listener = TcpListener::bind(flags.control).await?;
+    let control = Arc::new(Control { servers, ledger });
+    serve::serve(listener, serve::Options::default(), control, stopped).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/wb-stand/src/bin/stand_relay.rs
@@ -0,0 +1,82 @@
+//! Links as one process: `POST /control/link/{index}` with the new state.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eyre::OptionExt;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use wb_http::Body;
+use wb_http::serve;
+use wb_http::serve::Handler;
+use wb_stand::relay::Relay;
+use wb_stand::reply;
+
+mod flags {
+    use std::net::SocketAddr;
+
+    xflags::xflags! {
+        /// Links between processes that can be cut, also in one direction.
+        cmd stand-relay {
+            /// Address for control.
+            required --control address: SocketAddr
+            /// A link, as `listen=target`; its index is its place on the command line.
+            repeated --link link: String
+        }
+    }
+}
+
+/// Control of all links of the process.
+struct Control {
+    relays: Vec<Relay>,
+}
+
+impl Control {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let index = request.uri().path().strip_prefix("/control/link/");
+        let index = index.and_then(|index| index.parse::<usize>().ok());
+        let Some(relay) = index.and_then(|index| self.relays.get(index)) else {
+            return reply::status(StatusCode::NOT_FOUND);
+        };
+        match reply::read(request.into_body()).await {
+            Ok(link) => {
+                relay.set(link);
+                reply::status(StatusCode::OK)
+            }
+            Err(answer) => answer,
+        }
+    }
+}
+
+impl Handler for Control {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        async move { self.answer(request).await }.boxed()
+    }
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    env_logger::init();
+    let flags = flags::StandRelay::from_env_or_exit();
+    let mut relays = Vec::new();
+    for link in &flags.link {
+        let (listen, target) = link.split_once('=').ok_or_eyre("a link is listen=target")?;
+        let listener = TcpListener::bind(listen).await?;
+        relays.push(Relay::start(listener, target.parse()?));
+    }
+    let listener = TcpListener::bind(flags.control).await?;
+    let (_stop, stopped) = watch::channel(false);
+    let control = Arc::new(Control { relays });
+    serve::serve(listener, serve::Options::default(), control, stopped).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/wb-stand/src/platform/mod.rs
@@ -0,0 +1,8 @@
+//! Stand-in for the platform.
+
+mod handler;
+mod store;
+
+pub use handler::Faults;
+pub use handler::Stand;
+pub use store::Store;
--- /dev/null
+++ b/crates/wb-stand/src/reply.rs
@@ -0,0 +1,40 @@
+//! Answers in JSON.
+
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wb_http::Body;
+use wb_http::body;
+
+/// Largest body of a control or platform call, in bytes.
+const BODY_MAX: usize = 16 * 1024 * 1024;
+/// Longest pause inside the body of a call.
+const IDLE: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// An answer with a JSON body.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let text = serde_json::to_vec(value).expect("messages hold only serialisable types");
+    let mut response = Response::new(body::full(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer without a body.
+pub fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads a JSON body.
+///
+/// # Errors
+///
+/// The answer to give instead.
+pub async fn read<T: DeserializeOwned>(incoming: Incoming) -> Result<T, Response<Body>> {
+    let bytes = body::read(incoming, BODY_MAX, IDLE).await;
+    let bytes = bytes.map_err(|_| status(StatusCode::BAD_REQUEST))?;
+    serde_json::from_slice(&bytes).map_err(|err| json(StatusCode::BAD_REQUEST, &err.to_string()))
+}
--- /dev/null
+++ b/crates/wb-table/src/check.rs
@@ -0,0 +1,53 @@
+//! Rules that the rows keep together.
+
+use std::collections::HashSet;
+
+use wb_types::policy::Row;
+
+use crate::Finding;
+
+/// Longest name, in bytes.
+const NAME_MAX: usize = 64;
+/// Highest weight of a row.
+const WEIGHT_MAX: u32 = 1000;
+
+/// Whether a text can name a service or class.
+pub fn is_name(text: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    !text.is_empty() && text.len() <= NAME_MAX && text.chars().all(allowed)
+}
+
+/// Checks rows one by one and against each other.
+///
+/// `lines` gives the place of each row; missing ones count as 0.
+pub fn rows(rows: &[Row], lines: &[u64], findings: &mut Vec<Finding>) {
+    let mut seen = HashSet::new();
+    for (index, row) in rows.iter().enumerate() {
+        let line = lines.get(index).copied().unwrap_or(0);
+        let mut add = |column: &str, text: &str| findings.push(Finding::new(line, column, text));
+        if !seen.insert(&row.key) {
+            add("class", "the service has a row for this class already");
+        }
+        if !is_name(&row.key.service) || !is_name(&row.key.class) {
+            add("service", "service and class are names");
+        }
+        if row.weight == 0 || row.weight > WEIGHT_MAX {
+            add("weight", "must be 1 to 1000");
+        }
+        if !row.rate.is_finite() || row.rate <= 0.0 {
+            add("rate_per_s", "must be above 0");
+        }
+        if row.concurrency == 0 {
+            add("concurrency", "must be above 0");
+        }
+        if row.deadline.is_zero() {
+            add("deadline_ms", "must be above 0");
+        }
+        if row.wait > row.deadline {
+            add("wait_ms", "must not be above deadline_ms");
+        }
+        if row.floor > 100 {
+            add("floor_percent", "must be 0 to 100");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wb-table/src/table/access.rs
@@ -0,0 +1,121 @@
+//! Reading rows.
+
+use wb_types::id::ServiceName;
+use wb_types::id::TableVersion;
+use wb_types::outcome::Reason;
+use wb_types::policy::CallerRow;
+use wb_types::policy::Content;
+use wb_types::policy::Delta;
+use wb_types::policy::Row;
+use wb_types::policy::RowKey;
+use wb_types::policy::VersionedRow;
+
+use crate::Table;
+
+impl Table {
+    /// Version in force; 0 before the first one.
+    pub fn version(&self) -> TableVersion {
+        self.version
+    }
+
+    /// Row of a key.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::UnknownService`] or [`Reason::UnknownClass`], as the case may be.
+    pub fn row(&self, key: &RowKey) -> Result<&Row, Reason> {
+        let found = self.rows.get(key).and_then(|entry| entry.row.as_ref());
+        match found {
+            Some(row) => Ok(row),
+            None if self.services.contains_key(&key.service) => Err(Reason::UnknownClass),
+            None => Err(Reason::UnknownService),
+        }
+    }
+
+    /// Rows in force that are newer than the version.
+    pub fn extra(&self) -> &[VersionedRow] {
+        &self.extra
+    }
+
+    /// Version that last wrote a key; 0 if none has.
+    pub fn row_version(&self, key: &RowKey) -> TableVersion {
+        self.rows.get(key).map_or(0, |entry| entry.version)
+    }
+
+    /// All policy rows in force, by key.
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values().filter_map(|entry| entry.row.as_ref())
+    }
+
+    /// Floor of a service in percent: the highest among its rows.
+    pub fn floor(&self, service: &str) -> u32 {
+        self.rows()
+            .filter(|row| &*row.key.service == service)
+            .map(|row| row.floor)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Caller with a key of this digest.
+    pub fn caller(&self, digest: &str) -> Option<&CallerRow> {
+        self.callers.get(digest).map(|entry| &entry.row)
+    }
+
+    /// Number of callers.
+    pub fn caller_count(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// Row that governs a caller's requests for a service: that of the class asked for if the
+    /// caller may use it, else of the first of its classes that has one.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::UnknownService`], or [`Reason::UnknownClass`] if there is no such class or the
+    /// caller may not use it.
+    pub fn row_for(
+        &self,
+        caller: &CallerRow,
+        service: &ServiceName,
+        asked: Option<&str>,
+    ) -> Result<&Row, Reason> {
+        let mut last = Reason::UnknownClass;
+        for class in &caller.classes {
+            if asked.is_some_and(|name| name != &**class) {
+                continue;
+            }
+            let key = RowKey {
+                service: service.clone(),
+                class: class.clone(),
+            };
+            match self.row(&key) {
+                Ok(row) => return Ok(row),
+                Err(reason) => last = reason,
+            }
+        }
+        Err(last)
+    }
+
+    /// All rows that changed after a version.
+    pub fn since(&self, after: TableVersion) -> Delta {
+        let policies = self.rows.iter().map(|(key, entry)| VersionedRow {
+            version: entry.version,
+            content: match &entry.row {
+                Some(row) => Content::Policy(row.clone()),
+                None => Content::Dropped(key.clone()),
+            },
+        });
+        let callers = self.callers.values().map(|entry| VersionedRow {
+            version: entry.version,
+            content: Content::Caller(entry.row.clone()),
+        });
+        Delta {
+            after,
+            upto: self.version,
+            rows: policies
+                .chain(callers)
+                .filter(|row| row.version > after)
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wb-types/src/roster.rs
@@ -0,0 +1,72 @@
+//! Instances and backend servers as the platform lists them.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+
+use crate::id::DomainName;
+use crate::id::InstanceName;
+use crate::id::ServerName;
+use crate::id::ServiceName;
+
+/// Whether a listed process stays.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Stay {
+    /// In service.
+    #[default]
+    Live,
+    /// Finishing its work; takes nothing new.
+    Leaving,
+}
+
+/// An instance of the fleet.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Instance {
+    /// Unique name.
+    pub name: InstanceName,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other instances.
+    pub peers: SocketAddr,
+    /// Failure domain it runs in.
+    pub domain: DomainName,
+    /// Whether it stays.
+    #[serde(default)]
+    pub stay: Stay,
+}
+
+/// A backend server.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Name, unique in the service.
+    pub name: ServerName,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Address it listens on.
+    pub address: SocketAddr,
+    /// Failure domain it runs in.
+    pub domain: DomainName,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Connections that it accepts at a time.
+    pub connections: u32,
+    /// Whether it stays.
+    #[serde(default)]
+    pub stay: Stay,
+}
+
+/// The platform's list; lags behind the truth.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Roster {
+    /// Instances of the fleet.
+    pub instances: Vec<Instance>,
+    /// Backend servers of all services.
+    pub servers: Vec<Server>,
+}
