--- a/crates/wb-load/src/soak.rs
+++ b/crates/wb-load/src/soak.rs
@@ -28,6 +28,8 @@
 const ATTEMPTS: usize = 4;
 /// Of a hundred orders, so many are sent twice at once.
 const DOUBLE: u32 = 10;
+/// Time that a backend server works on an order, in milliseconds.
+const WORK_MS: f64 = 25.0;
 /// Tickets taken at a time.
 const TICKETS: usize = 50;
 
@@ -134,7 +136,7 @@
             tickets = caller.tickets(TICKETS).await;
         }
         let id = format!("soak-{index}");
-        let mut ask = Ask::order("registry", &id, 2.0);
+        let mut ask = Ask::order("registry", &id, WORK_MS);
         ask.key = tickets.pop();
         let told = match ask.key {
             Some(_) => place(&caller, &entries, &ask, &mut rng).await,
@@ -176,7 +178,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut faults = 0;
     while !ended.load(Ordering::Relaxed) {
-        tokio::time::sleep(Duration::from_millis(rng.random_range(200..1200))).await;
+        tokio::time::sleep(Duration::from_millis(rng.random_range(100..600))).await;
         let index = rng.random_range(0..fleet.size());
         faults += 1;
         match rng.random_range(0..6) {
