test: scripted scenarios on real processes, with links that can be cut one way

An instance that is not called any more while its own calls are answered is deaf: it leaves its own address out and lets the others' verdict stand.

--- a/crates/wb-entry/src/fleet/actor.rs
+++ b/crates/wb-entry/src/fleet/actor.rs
@@ -44,6 +44,7 @@
     pub(super) listed: bool,
     pub(super) leavers: Leavers,
     isolated: bool,
+    deaf: bool,
     polling: bool,
 }
 
@@ -98,6 +99,7 @@
             listed: false,
             leavers: Leavers::default(),
             isolated: false,
+            deaf: false,
             polling: false,
         })
     }
@@ -136,9 +138,11 @@
         let changes = self.members.tick(now);
         self.note(&changes);
         let isolated = self.members.isolated(now);
-        if isolated != self.isolated {
+        let deaf = self.members.deaf();
+        if isolated != self.isolated || deaf != self.deaf {
             self.isolated = isolated;
-            emit!(Event::Isolated, "isolated={isolated}");
+            self.deaf = deaf;
+            emit!(Event::Isolated, "isolated={isolated} deaf={deaf}");
             self.place();
         }
         if let Some(target) = self.members.target() {
@@ -205,6 +209,9 @@
     }
 
     fn heard(&mut self, news: &News) -> News {
+        if news.from.is_some() {
+            self.members.called(self.context.clock.now());
+        }
         let peer = news
             .from
             .as_ref()
--- a/crates/wb-entry/src/leave.rs
+++ b/crates/wb-entry/src/leave.rs
@@ -13,6 +13,7 @@
 use crate::Context;
 use crate::fleet::FleetMessage;
 use crate::recorder::RecordMessage;
+use crate::start::Daemon;
 
 /// Time for which callers that kept an address are still served.
 const STALE: Duration = Duration::from_secs(6);
@@ -27,26 +28,34 @@
 /// Records handed over in one message.
 const BATCH: usize = 500;
 
-/// Leaves the fleet: tells the others, serves callers that kept the address, waits until all
-/// requests are finished, and hands the tickets to a successor.
-pub async fn leave(context: &Arc<Context>) {
+/// Leaves the fleet: tells the others, serves callers that kept the address, then takes no new
+/// connections, waits until all requests are finished, and hands the tickets to a successor.
+pub async fn leave(daemon: Daemon) {
+    let context = &daemon.context.clone();
     emit!(Event::Leaving, "active={}", context.metrics.active.get());
     context.leaving.send_replace(true);
     let fleet = &context.actors().fleet;
     let live = call_t!(fleet, FleetMessage::Leave, ACTOR_MS).unwrap_or_default();
     tell(context, &live).await;
-    let until = context.clock.now() + STALE;
-    while context.clock.now() < until || context.metrics.active.get() > 0 {
+    tokio::time::sleep(STALE).await;
+    daemon.finish().await;
+    while busy(context) {
         tokio::time::sleep(PAUSE).await;
     }
     hand_over(context, &live).await;
     let recorder = &context.actors().recorder;
     let _ = call_t!(recorder, RecordMessage::Flush, ACTOR_MS);
+    emit!(Event::Stopped, "instance={}", context.me());
+}
+
+/// Whether work goes on, be it for callers that are gone.
+fn busy(context: &Context) -> bool {
+    let running = context.claims.lock().expect("no holder panics").busy();
+    running || context.metrics.active.get() > 0
 }
 
 /// Tells every other instance at once.
 async fn tell(context: &Arc<Context>, live: &[Instance]) {
-    let me = context.view();
     let news = News {
         from: Some(wb_types::member::MemberNews {
             name: context.me().clone(),
@@ -61,7 +70,6 @@
         .iter()
         .map(|peer| context.peers.exchange(peer.peers, &news, PEER));
     futures::future::join_all(calls).await;
-    drop(me);
 }
 
 /// Hands the records of tickets to one successor. A hand-over whose answer was lost is not tried
--- a/crates/wb-entry/src/main.rs
+++ b/crates/wb-entry/src/main.rs
@@ -72,13 +72,8 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let context = daemon.context.clone();
-    let leaving = async move {
-        leave::leave(&context).await;
-        daemon.finish().await;
-    };
     tokio::select! {
-        () = leaving => {}
+        () = leave::leave(daemon) => {}
         _ = terminate.recv() => emit!(Event::Cut, "signal=TERM"),
         _ = interrupt.recv() => emit!(Event::Cut, "signal=INT"),
     }
--- a/crates/wb-entry/src/start.rs
+++ b/crates/wb-entry/src/start.rs
@@ -101,11 +101,10 @@
         })
     }
 
-    /// Ends the daemon once all requests on open connections are finished.
+    /// Takes no new connections, and waits until all requests on open ones are finished.
     pub async fn finish(self) {
         self.stop.send_replace(true);
         let _ = self.callers.await;
-        emit!(Event::Stopped, "instance={}", self.context.me());
     }
 }
 
--- a/crates/wb-load/src/caller/mod.rs
+++ b/crates/wb-load/src/caller/mod.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -16,6 +17,11 @@
 
 pub use check::expected;
 
+/// Longest wait for the answer of a lookup or an order.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// Longest wait for the answer of an upload.
+const UPLOAD_PATIENCE: Duration = Duration::from_secs(150);
+
 /// One request.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -37,6 +43,8 @@
     pub order: Option<String>,
     /// Idempotency key.
     pub key: Option<String>,
+    /// Longest wait of the caller for the whole answer.
+    pub patience: Duration,
 }
 
 /// What became of a request.
@@ -99,6 +107,7 @@
             answer: 256,
             order: None,
             key: None,
+            patience: PATIENCE,
         }
     }
 
@@ -117,6 +126,7 @@
         Self {
             method: Method::PUT,
             body,
+            patience: UPLOAD_PATIENCE,
             ..Self::lookup(service, path, work)
         }
     }
--- a/crates/wb-load/src/caller/send.rs
+++ b/crates/wb-load/src/caller/send.rs
@@ -1,7 +1,6 @@
 //! Sending requests.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -22,8 +21,6 @@
 
 /// Connections to one instance.
 const CONNECTIONS: u32 = 2000;
-/// Longest wait for a whole answer.
-const TIMEOUT: Duration = Duration::from_secs(150);
 
 impl Caller {
     /// Sends a request to the first of the service's addresses that can be reached.
@@ -55,7 +52,7 @@
                 Err(SendError::Lost(_)) => Fate::Lost,
             }
         };
-        let whole = tokio::time::timeout(TIMEOUT, exchange).await;
+        let whole = tokio::time::timeout(ask.patience, exchange).await;
         whole.unwrap_or(Fate::Lost)
     }
 
--- a/crates/wb-load/src/deploy.rs
+++ b/crates/wb-load/src/deploy.rs
@@ -20,7 +20,12 @@
 const OPERATORS: u16 = 400;
 const PLATFORM: u16 = 600;
 const CONTROL: u16 = 601;
+const LINKS: u16 = 602;
+const PLATFORM_LINK: u16 = 603;
 const SERVERS: u16 = 700;
+const CALLER_LINKS: u16 = 100;
+const PEER_LINKS: u16 = 300;
+const SERVER_LINKS: u16 = 850;
 
 /// A deployment.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -50,6 +55,14 @@
     pub connections: u32,
 }
 
+/// A list whose addresses lie behind links.
+pub struct LinkedRoster {
+    /// The list.
+    pub roster: Roster,
+    /// The links, as `listen=target`.
+    pub links: Vec<String>,
+}
+
 /// An address on this machine.
 fn local(port: u16) -> SocketAddr {
     SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)
@@ -116,6 +129,40 @@
         }
     }
 
+    /// Control address of the links.
+    pub fn links(&self) -> SocketAddr {
+        local(self.base_port + LINKS)
+    }
+
+    /// Address of the link to the platform.
+    pub fn platform_link(&self) -> SocketAddr {
+        local(self.base_port + PLATFORM_LINK)
+    }
+
+    /// The same list with every address behind a link, and the links: to each instance's callers'
+    /// and peers' addresses in turn, then to the backend servers, then to the platform.
+    pub fn linked(&self, roster: &Roster) -> LinkedRoster {
+        let mut linked = roster.clone();
+        let mut links = Vec::new();
+        let mut link = |port: u16, target: &mut SocketAddr| {
+            let listen = local(self.base_port + port);
+            links.push(format!("{listen}={target}"));
+            *target = listen;
+        };
+        for (index, instance) in linked.instances.iter_mut().enumerate() {
+            link(CALLER_LINKS + index as u16, &mut instance.callers);
+            link(PEER_LINKS + index as u16, &mut instance.peers);
+        }
+        for (index, server) in linked.servers.iter_mut().enumerate() {
+            link(SERVER_LINKS + index as u16, &mut server.address);
+        }
+        link(PLATFORM_LINK, &mut self.platform());
+        LinkedRoster {
+            roster: linked,
+            links,
+        }
+    }
+
     /// Total slots of a service.
     pub fn slots(&self, service: &str) -> u32 {
         let services = self.services.iter();
--- a/crates/wb-load/src/experiment/run.rs
+++ b/crates/wb-load/src/experiment/run.rs
@@ -45,6 +45,7 @@
         entries: plan.entries,
         homes: plan.homes,
         naive,
+        links: false,
     })
     .await?;
     let entries: Vec<_> = fleet
--- a/crates/wb-load/src/fleet/control.rs
+++ b/crates/wb-load/src/fleet/control.rs
@@ -16,6 +16,7 @@
 use wb_stand::backend::Knobs;
 use wb_stand::backend::Stats;
 use wb_stand::platform::Faults;
+use wb_stand::relay::Link;
 use wb_types::roster::Roster;
 
 use super::Fleet;
@@ -96,6 +97,40 @@
         post(self.deployment.platform(), "/control/roster", roster).await
     }
 
+    /// Sets the state of a link, by its place among the links.
+    pub async fn link(&self, index: usize, link: Link) -> eyre::Result<()> {
+        let path = format!("/control/link/{index}");
+        post(self.deployment.links(), &path, &link).await
+    }
+
+    /// Place of the link to an instance's callers' address.
+    pub fn caller_link(&self, index: usize) -> usize {
+        index * 2
+    }
+
+    /// Place of the link to an instance's peers' address.
+    pub fn peer_link(&self, index: usize) -> usize {
+        index * 2 + 1
+    }
+
+    /// Place of the link to a backend server, named `service/server`.
+    pub fn server_link(&self, name: &str) -> Option<usize> {
+        let mut servers = self.roster.servers.iter();
+        let place =
+            servers.position(|server| format!("{}/{}", server.service, server.name) == name);
+        place.map(|place| self.entries.len() * 2 + place)
+    }
+
+    /// Place of the link to the platform.
+    pub fn platform_link(&self) -> usize {
+        self.entries.len() * 2 + self.roster.servers.len()
+    }
+
+    /// Whether an entry process is running.
+    pub fn is_running(&self, index: usize) -> bool {
+        self.entries[index].is_some()
+    }
+
     /// Orders that the backend servers have run.
     pub async fn ledger(&self) -> eyre::Result<Vec<Count>> {
         get(self.deployment.control(), "/control/ledger").await
--- a/crates/wb-load/src/fleet/start.rs
+++ b/crates/wb-load/src/fleet/start.rs
@@ -45,6 +45,8 @@
     pub homes: usize,
     /// Whether each instance decides alone.
     pub naive: bool,
+    /// Whether every process lies behind a link that can be cut.
+    pub links: bool,
 }
 
 impl Fleet {
@@ -81,13 +83,36 @@
         let roster = roster.display().to_string();
         let platform = self.deployment.platform();
         let control = self.deployment.control();
-        let arguments = ["--listen", &platform.to_string(), "--roster", &roster];
+        let linked = self.deployment.linked(&self.roster);
+        let listed = self.folder.join("listed.json");
+        if self.options.links {
+            self.roster = linked.roster;
+        }
+        fs::write(&listed, serde_json::to_string_pretty(&self.roster)?)?;
+        let listed = listed.display().to_string();
+        let arguments = ["--listen", &platform.to_string(), "--roster", &listed];
         let child = self.spawn("stand-platform", "platform", &arguments)?;
         self.stands.push(child);
         let arguments = ["--control", &control.to_string(), "--roster", &roster];
         let child = self.spawn("stand-backend", "backend", &arguments)?;
         self.stands.push(child);
         reach(platform).await?;
+        reach(control).await?;
+        if self.options.links {
+            self.start_links(&linked.links).await?;
+        }
+        Ok(())
+    }
+
+    async fn start_links(&mut self, links: &[String]) -> eyre::Result<()> {
+        let control = self.deployment.links();
+        let text = control.to_string();
+        let mut arguments = vec!["--control", &text];
+        for link in links {
+            arguments.extend(["--link", link]);
+        }
+        let child = self.spawn("stand-relay", "relay", &arguments)?;
+        self.stands.push(child);
         reach(control).await
     }
 
@@ -108,6 +133,11 @@
     fn settings(&self, index: usize) -> String {
         let instance = self.deployment.instance(index);
         let seed = self.deployment.instance((index + 1) % self.entries.len());
+        let platform = if self.options.links {
+            self.deployment.platform_link()
+        } else {
+            self.deployment.platform()
+        };
         format!(
             "instance:\n  name: {}\n  domain: {}\n\
              listen:\n  callers: {}\n  peers: {}\n  operators: {}\n\
@@ -120,7 +150,7 @@
             instance.callers,
             instance.peers,
             self.deployment.operators(index),
-            self.deployment.platform(),
+            platform,
             self.options.homes,
             self.options.naive,
             seed.peers
--- a/crates/wb-load/src/lib.rs
+++ b/crates/wb-load/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`fleet`]: a small fleet of real processes.
 //! - [`caller`]: a caller that asks for addresses, keeps them, and checks every answer.
 //! - [`demo`], [`mixed`], [`soak`]: runs with one purpose each.
+//! - [`scenario`]: steps of scripted scenarios on real processes.
 //! - [`experiment`]: runs described by a file, with faults and comparison.
 
 pub mod caller;
@@ -12,4 +13,5 @@
 pub mod experiment;
 pub mod fleet;
 pub mod mixed;
+pub mod scenario;
 pub mod soak;
--- a/crates/wb-load/src/main.rs
+++ b/crates/wb-load/src/main.rs
@@ -85,6 +85,7 @@
         entries: flags.entries.unwrap_or(6),
         homes: flags.homes.unwrap_or(1),
         naive: false,
+        links: false,
     };
     match flags.subcommand {
         WisteriaLoadCmd::Demo(run) => {
--- a/crates/wb-load/src/soak.rs
+++ b/crates/wb-load/src/soak.rs
@@ -1,5 +1,6 @@
 //! Orders under kills, pauses and platform faults: none is run twice, no refusal lies.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,7 +32,7 @@
 /// Time that a backend server works on an order, in milliseconds.
 const WORK_MS: f64 = 25.0;
 /// Tickets taken at a time.
-const TICKETS: usize = 50;
+const TICKETS: usize = 5;
 
 /// What the caller knows of an order at the end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -45,6 +46,7 @@
 struct Order {
     id: String,
     told: Told,
+    last: String,
 }
 
 /// Sends orders while processes and the platform fail.
@@ -111,6 +113,11 @@
         "run twice {twice}, told not run but run {}, told done but not run {phantoms}",
         lies.len()
     );
+    let mut reasons: BTreeMap<&str, usize> = BTreeMap::new();
+    for order in results.iter().filter(|order| order.told != Told::Done) {
+        *reasons.entry(&order.last).or_default() += 1;
+    }
+    println!("last word on orders that were not done: {reasons:?}");
     lies.iter()
         .take(5)
         .for_each(|order| println!("  lie: {order}"));
@@ -138,18 +145,25 @@
         let id = format!("soak-{index}");
         let mut ask = Ask::order("registry", &id, WORK_MS);
         ask.key = tickets.pop();
+        let mut last = String::new();
         let told = match ask.key {
-            Some(_) => place(&caller, &entries, &ask, &mut rng).await,
+            Some(_) => place(&caller, &entries, &ask, &mut rng, &mut last).await,
             None => Told::NotRun,
         };
-        let order = Order { id, told };
+        let order = Order { id, told, last };
         results.lock().expect("no holder panics").push(order);
     }
 }
 
 /// Places one order: sends it again under the same ticket, through other instances, until the
 /// caller knows or gives up.
-async fn place(caller: &Caller, entries: &[SocketAddr], ask: &Ask, rng: &mut SmallRng) -> Told {
+async fn place(
+    caller: &Caller,
+    entries: &[SocketAddr],
+    ask: &Ask,
+    rng: &mut SmallRng,
+    last: &mut String,
+) -> Told {
     let mut told = Told::NotRun;
     for _ in 0..ATTEMPTS {
         let first = *entries.choose(rng).expect("a fleet has instances");
@@ -162,6 +176,7 @@
             vec![caller.send_to(first, ask).await]
         };
         for fate in fates {
+            *last = format!("{fate:?}");
             match fate {
                 Fate::Good => return Told::Done,
                 Fate::Refused(Outcome::NotRun, _) | Fate::Unsent => {}
--- /dev/null
+++ b/crates/wb-load/tests/processes.rs
@@ -0,0 +1,62 @@
+//! Scripted scenarios on real processes: the files in `scenarios/processes`.
+
+use std::path::Path;
+use std::sync::Mutex;
+
+use datadriven::TestCase;
+use datadriven::TestFile;
+use datadriven::walk;
+use wb_load::scenario::Arguments;
+use wb_load::scenario::Scenario;
+
+/// All scenarios use the same ports: one runs at a time.
+static PORTS: Mutex<()> = Mutex::new(());
+
+fn root() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
+}
+
+fn step(case: &TestCase, scenario: &mut Scenario, runtime: &tokio::runtime::Runtime) -> String {
+    let arguments = Arguments::new(case.args.clone());
+    match runtime.block_on(scenario.step(&case.directive, &arguments)) {
+        Ok(text) if text.is_empty() => "ok\n".to_owned(),
+        Ok(text) => format!("{text}\n"),
+        Err(err) => format!("error: {err:#}\n"),
+    }
+}
+
+fn run(file: &mut TestFile, name: &str) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let out = std::env::temp_dir().join(format!("wisteria-{}-{name}", std::process::id()));
+    let example = root().join("examples/association");
+    let mut scenario = Scenario::new(example, out.clone());
+    file.run(|case| {
+        let _guard = runtime.enter();
+        step(case, &mut scenario, &runtime)
+    });
+    drop(scenario);
+    let _ = std::fs::remove_dir_all(&out);
+}
+
+/// Names a test for each scenario file.
+macro_rules! scenarios {
+    ($($name:ident: $file:literal,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let _one = PORTS.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                let path = root().join("scenarios/processes").join($file);
+                walk(&path.display().to_string(), |file| run(file, $file));
+            }
+        )*
+    };
+}
+
+scenarios! {
+    at_most_once: "at-most-once.txt",
+    graceful_shutdown: "graceful.txt",
+    leaving_server: "leaving.txt",
+    one_way_link: "one-way.txt",
+    table_edits: "table.txt",
+    whole_answer: "whole-answer.txt",
+}
--- a/crates/wb-members/src/members/access.rs
+++ b/crates/wb-members/src/members/access.rs
@@ -15,7 +15,7 @@
             .filter(|member| member.news.liveness <= Liveness::Suspect)
             .map(|member| member.instance.clone())
             .collect();
-        if self.me.liveness == Liveness::Alive {
+        if self.me.liveness == Liveness::Alive && !self.deaf {
             live.push(self.options.me.clone());
         }
         live.sort_by(|a, b| a.name.cmp(&b.name));
@@ -51,6 +51,12 @@
         !self.others.is_empty() && now.saturating_sub(self.answered) > self.options.isolation
     }
 
+    /// Whether others answer this instance but none calls it any more: what they send does not
+    /// arrive.
+    pub fn deaf(&self) -> bool {
+        self.deaf
+    }
+
     /// Instances that may be named to callers.
     pub fn named(&self, now: Moment) -> Vec<Instance> {
         let mut named = self.live();
--- a/crates/wb-members/src/members/init.rs
+++ b/crates/wb-members/src/members/init.rs
@@ -30,6 +30,8 @@
             rumours: Vec::new(),
             round: Vec::new(),
             answered: Moment::ZERO,
+            called: Moment::ZERO,
+            deaf: false,
             tried: 0,
         }
     }
--- a/crates/wb-members/src/members/merge.rs
+++ b/crates/wb-members/src/members/merge.rs
@@ -62,10 +62,11 @@
         self.spread(news);
     }
 
-    /// Refutes a rumour about the instance itself.
+    /// Refutes a rumour about the instance itself, unless it is deaf: then the others are right
+    /// not to count on it.
     fn hear_of_me(&mut self, news: &MemberNews) {
         let newer = (news.incarnation, news.round) >= (self.me.incarnation, self.me.round);
-        if !newer || *news == self.me {
+        if !newer || *news == self.me || self.deaf {
             return;
         }
         if news.incarnation > self.me.incarnation {
--- a/crates/wb-members/src/members/mod.rs
+++ b/crates/wb-members/src/members/mod.rs
@@ -67,6 +67,8 @@
     rumours: Vec<Rumour>,
     round: Vec<InstanceName>,
     answered: Moment,
+    called: Moment,
+    deaf: bool,
     tried: u32,
     rng: SmallRng,
 }
--- a/crates/wb-members/src/members/probe.rs
+++ b/crates/wb-members/src/members/probe.rs
@@ -60,6 +60,11 @@
         self.answered = now;
     }
 
+    /// Notes that another instance called this one.
+    pub fn called(&mut self, now: Moment) {
+        self.called = now;
+    }
+
     /// Notes that neither a direct nor an indirect probe of a member was answered.
     pub fn failed(&mut self, name: &InstanceName, now: Moment) -> Option<Change> {
         let member = self.others.get(name)?;
@@ -74,6 +79,8 @@
     /// Ends suspicions that nobody refuted. An instance that is isolated convicts nobody: the
     /// fault is its own until some probe is answered.
     pub fn tick(&mut self, now: Moment) -> Vec<Change> {
+        let silent = now.saturating_sub(self.called) > self.options.isolation;
+        self.deaf = silent && !self.others.is_empty() && !self.isolated(now);
         let limit = self.options.suspicion;
         let over = self.others.values().filter(|member| {
             member.news.liveness == Liveness::Suspect && now - member.since >= limit
--- a/crates/wb-table/src/table/access.rs
+++ b/crates/wb-table/src/table/access.rs
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Highest version of anything in force.
+    pub fn newest(&self) -> TableVersion {
+        let extra = self.extra.iter().map(|row| row.version).max();
+        extra.unwrap_or(0).max(self.version)
+    }
+
     /// Rows in force that are newer than the version.
     pub fn extra(&self) -> &[VersionedRow] {
         &self.extra
