fix(http): forget unused connections to a host once one of them went silent

Ruled out: the settling of lost answers, which did what it should. A call that times out now closes the host's unused connections; the same towards backend servers and homes.

--- a/crates/wb-entry/src/front/backend.rs
+++ b/crates/wb-entry/src/front/backend.rs
@@ -66,6 +66,7 @@
             Step::Lost(Reason::BrokenAnswer)
         }
         Err(_) => {
+            run.context.backends.forget(grant.address);
             guard.finish(Ending::Bad, None);
             Step::Lost(Reason::Timeout)
         }
--- a/crates/wb-entry/src/front/home.rs
+++ b/crates/wb-entry/src/front/home.rs
@@ -66,7 +66,10 @@
             unreachable(run, name, guard, Reason::Connect)
         }
         Ok(Err(SendError::Lost(_))) => lost(run, &home, guard, Reason::BrokenAnswer).await,
-        Err(_) => lost(run, &home, guard, Reason::Timeout).await,
+        Err(_) => {
+            run.context.homes.forget(home.callers);
+            lost(run, &home, guard, Reason::Timeout).await
+        }
     }
 }
 
--- a/crates/wb-http/src/call.rs
+++ b/crates/wb-http/src/call.rs
@@ -111,7 +111,10 @@
         let exchange = self.exchange(request);
         match tokio::time::timeout(self.timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(CallError::NoAnswer(format!("none in {:?}", self.timeout))),
+            Err(_) => {
+                self.pool.forget(self.address);
+                Err(CallError::NoAnswer(format!("none in {:?}", self.timeout)))
+            }
         }
     }
 
--- a/crates/wb-http/src/pool/mod.rs
+++ b/crates/wb-http/src/pool/mod.rs
@@ -130,6 +130,16 @@
         hosts.get(&address).map_or(0, |host| host.open)
     }
 
+    /// Closes all unused connections to a server: one of its connections went silent, and the
+    /// others may have.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut hosts = self.inner.hosts.lock().expect("no holder panics");
+        let host = hosts.get_mut(&address);
+        let idle = host.map(|host| std::mem::take(&mut host.idle));
+        drop(hosts);
+        drop(idle);
+    }
+
     /// Closes connections that have waited unused for too long.
     pub fn sweep(&self) {
         let limit = self.inner.options.idle;
