fix(dispatch): a route is one path segment, and is long only after 20 completions

Cause: routes of two segments took the item's number in, so that each route had one or two samples of an exponential time and some were called long by noise; long work is bounded and costs a class ten times as much. Ruled out: the queues' tags and the callers' turns.

--- a/crates/wb-dispatch/src/length.rs
+++ b/crates/wb-dispatch/src/length.rs
@@ -12,24 +12,35 @@
 /// A route whose usual time is this many medians is long.
 const LONG_FACTOR: f64 = 5.0;
 /// Weight of the newest duration in a route's usual time.
-const NEWEST: f64 = 0.2;
+const NEWEST: f64 = 0.1;
+/// Completions before a route's usual time is trusted.
+const SAMPLES_MIN: u32 = 20;
 
 /// Learns the usual duration of each route.
 #[derive(Clone, Debug, Default)]
 pub struct Lengths {
-    routes: HashMap<String, f64>,
+    routes: HashMap<String, Route>,
+}
+
+/// Usual duration of a route.
+#[derive(Clone, Copy, Debug)]
+struct Route {
+    secs: f64,
+    samples: u32,
 }
 
 impl Lengths {
     /// Takes the duration of one completed request.
     pub fn learn(&mut self, route: &str, took: Duration) {
         let secs = took.as_secs_f64();
-        if let Some(usual) = self.routes.get_mut(route) {
-            *usual += NEWEST * (secs - *usual);
+        if let Some(known) = self.routes.get_mut(route) {
+            known.secs += NEWEST * (secs - known.secs);
+            known.samples = known.samples.saturating_add(1);
             return;
         }
         if self.routes.len() < ROUTES_MAX {
-            self.routes.insert(route.to_owned(), secs);
+            self.routes
+                .insert(route.to_owned(), Route { secs, samples: 1 });
         }
     }
 
@@ -41,7 +52,8 @@
         let (Some(usual), Some(median)) = (self.routes.get(route), median) else {
             return Length::Short;
         };
-        if *usual > median.as_secs_f64() * LONG_FACTOR {
+        let long = usual.secs > median.as_secs_f64() * LONG_FACTOR;
+        if long && usual.samples >= SAMPLES_MIN {
             Length::Long
         } else {
             Length::Short
--- a/crates/wb-entry/src/front/intake.rs
+++ b/crates/wb-entry/src/front/intake.rs
@@ -25,8 +25,6 @@
 
 /// Longest idempotency key, in bytes.
 const KEY_MAX: usize = 200;
-/// Segments of a path that make a route.
-const ROUTE_SEGMENTS: usize = 2;
 
 /// The idempotency key of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -60,7 +58,7 @@
     pub admitted: bool,
     /// Method and path.
     pub target: String,
-    /// Method and first segments of the path.
+    /// Method and first segment of the path.
     pub route: String,
     /// Size of the body, if it is known.
     pub size: Option<u64>,
@@ -196,12 +194,8 @@
 }
 
 fn route(method: &Method, path: &str) -> String {
-    let segments: Vec<&str> = path
-        .trim_start_matches('/')
-        .split('/')
-        .take(ROUTE_SEGMENTS)
-        .collect();
-    format!("{method} {}", segments.join("/"))
+    let first = path.trim_start_matches('/').split('/').next();
+    format!("{method} {}", first.unwrap_or_default())
 }
 
 /// Size of the body; a request without a length has no body unless it is sent in chunks.
