--- a/crates/wb-health/src/score.rs
+++ b/crates/wb-health/src/score.rs
@@ -42,6 +42,11 @@
         (self.bad + options.usual * 10.0) / (self.total + 10.0)
     }
 
+    /// Drops the sum and keeps what is known of the rate.
+    pub fn clear(&mut self) {
+        self.sum = 0.0;
+    }
+
     /// Sets the score, e.g. for a server on probation.
     pub fn reset(&mut self, value: f64) {
         *self = Self {
--- a/crates/wb-health/src/ward/judge.rs
+++ b/crates/wb-health/src/ward/judge.rs
@@ -11,6 +11,9 @@
 
 /// Other servers with evidence that are needed to tell what is usual.
 const OTHERS_MIN: usize = 2;
+/// Multiple of the usual share of bad work that sets a sick server apart. Evidence that was
+/// gathered before the others turned bad too is void.
+const APART: f64 = 3.0;
 
 impl Ward {
     /// Takes one piece of evidence; gives the change that follows from it, if any.
@@ -54,9 +57,14 @@
     }
 
     fn judge(&mut self, key: ServerKey, now: Moment) -> Option<Change> {
-        let score = self.servers.get(key)?.score.value();
+        let server = self.servers.get(key)?;
+        let score = server.score.value();
         if score >= self.options.eject {
-            return self.convict(key, now);
+            let rate = server.score.rate(&self.options);
+            if rate >= self.usual(key) * APART {
+                return self.convict(key, now);
+            }
+            self.servers.get_mut(key)?.score.clear();
         }
         let options = self.options.clone();
         let server = self.servers.get_mut(key)?;
--- /dev/null
+++ b/crates/wb-health/tests/floor.rs
@@ -0,0 +1,188 @@
+//! Ejection never takes capacity that can serve below the floor: random histories against a
+//! naive checker.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use wb_health::Options;
+use wb_health::Sample;
+use wb_health::ServerKey;
+use wb_health::Ward;
+use wb_health::ward::Arrival;
+
+/// One thing that happens to one of the servers.
+#[derive(Clone, Debug)]
+enum Step {
+    Good(usize),
+    Bad(usize),
+    Leave(usize),
+    Stay(usize),
+    Join(Arrival),
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..8usize).prop_map(Step::Good),
+        12 => (0..8usize).prop_map(Step::Bad),
+        1 => (0..8usize).prop_map(Step::Leave),
+        1 => (0..8usize).prop_map(Step::Stay),
+        1 => Just(Step::Join(Arrival::Cold)),
+        1 => Just(Step::Join(Arrival::Taken)),
+        3 => (1..4000u64).prop_map(Step::Pass),
+    ]
+}
+
+/// A server as the naive checker sees it.
+#[derive(Clone, Copy, Debug)]
+struct Naive {
+    key: ServerKey,
+    slots: u32,
+    leaving: bool,
+    counts: Duration,
+}
+
+fn in_rotation(ward: &Ward, key: ServerKey) -> bool {
+    matches!(ward.state(key), "healthy" | "suspect")
+}
+
+/// Slots that serve, and slots that must, over the servers whose arrival is settled.
+fn count(ward: &Ward, servers: &[Naive], floor: u32, now: Duration) -> (u32, u32) {
+    let counted = servers.iter().filter(|server| server.counts <= now);
+    let total: u32 = counted.clone().map(|server| server.slots).sum();
+    let serving = counted.filter(|server| !server.leaving && in_rotation(ward, server.key));
+    (
+        serving.map(|server| server.slots).sum(),
+        (total * floor).div_ceil(100),
+    )
+}
+
+fn run(floor: u32, steps: &[Step]) -> Result<(), TestCaseError> {
+    let mut ward = Ward::new(Options::default());
+    ward.set_floor(floor);
+    let mut now = Duration::ZERO;
+    let mut servers = Vec::new();
+    for index in 0..4u32 {
+        let slots = 3 + index;
+        let key = ward.insert(format!("s{index}").into(), slots, Arrival::Known, now);
+        servers.push(Naive {
+            key,
+            slots,
+            leaving: false,
+            counts: now,
+        });
+    }
+    for step in steps {
+        let before = count(&ward, &servers, floor, now);
+        let pick = |index: &usize| index % servers.len();
+        match step {
+            Step::Good(index) => {
+                let sample = Sample::Short(Duration::from_millis(10));
+                let change = ward.record(servers[pick(index)].key, sample, now);
+                check(&ward, &servers, floor, now, before, change.is_some())?;
+            }
+            Step::Bad(index) => {
+                let change = ward.record(servers[pick(index)].key, Sample::Bad, now);
+                check(&ward, &servers, floor, now, before, change.is_some())?;
+            }
+            Step::Leave(index) => {
+                let index = pick(index);
+                servers[index].leaving = true;
+                ward.set_leaving(servers[index].key, true);
+            }
+            Step::Stay(index) => {
+                let index = pick(index);
+                servers[index].leaving = false;
+                ward.set_leaving(servers[index].key, false);
+            }
+            Step::Join(arrival) => {
+                let name = format!("s{}", servers.len());
+                let key = ward.insert(name.into(), 4, *arrival, now);
+                servers.push(Naive {
+                    key,
+                    slots: 4,
+                    leaving: false,
+                    counts: now + Duration::from_secs(5),
+                });
+            }
+            Step::Pass(millis) => {
+                now += Duration::from_millis(*millis);
+                ward.tick(now);
+                let (serving, needed) = count(&ward, &servers, floor, now);
+                let spare = servers.iter().any(|server| {
+                    server.counts <= now && !server.leaving && !in_rotation(&ward, server.key)
+                });
+                prop_assert!(serving >= needed || !spare, "an ejected server stayed out");
+            }
+        }
+    }
+    Ok(())
+}
+
+/// After evidence, capacity may have fallen only to the floor.
+fn check(
+    ward: &Ward,
+    servers: &[Naive],
+    floor: u32,
+    now: Duration,
+    before: (u32, u32),
+    changed: bool,
+) -> Result<(), TestCaseError> {
+    let (serving, needed) = count(ward, servers, floor, now);
+    let fell = serving < before.0;
+    prop_assert!(!fell || serving >= needed, "fell to {serving} below {needed}");
+    prop_assert!(!fell || changed, "capacity fell without a change told");
+    Ok(())
+}
+
+macro_rules! floors {
+    ($($name:ident: $floor:literal,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let config = Config { cases: 400, ..Config::default() };
+                let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+                let mut runner = TestRunner::new_with_rng(config, rng);
+                let steps = proptest::collection::vec(step(), 0..300);
+                runner.run(&steps, |steps| run($floor, &steps)).expect("the floor holds");
+            }
+        )*
+    };
+}
+
+floors! {
+    holds_at_0_percent: 0,
+    holds_at_50_percent: 50,
+    holds_at_67_percent: 67,
+    holds_at_100_percent: 100,
+}
+
+/// Several instances with views that clash for a while: each keeps the floor over the servers
+/// that it owns alone, so the servers in rotation anywhere add up to the floor.
+#[test]
+fn clashing_views_add_up() {
+    let now = Duration::ZERO;
+    let mut first = Ward::new(Options::default());
+    let mut second = Ward::new(Options::default());
+    first.set_floor(50);
+    second.set_floor(50);
+    let insert = |ward: &mut Ward, name: &str, arrival| ward.insert(name.into(), 6, arrival, now);
+    let a1 = insert(&mut first, "s1", Arrival::Known);
+    let a2 = insert(&mut first, "s2", Arrival::Known);
+    let b2 = insert(&mut second, "s2", Arrival::Taken);
+    let b3 = insert(&mut second, "s3", Arrival::Known);
+    for _ in 0..100 {
+        first.record(a1, Sample::Bad, now);
+        second.record(b3, Sample::Bad, now);
+    }
+    let out = [
+        !in_rotation(&first, a1),
+        !in_rotation(&first, a2) && !in_rotation(&second, b2),
+        !in_rotation(&second, b3),
+    ];
+    assert!(out.iter().filter(|out| **out).count() <= 1, "{out:?}");
+}
