--- a/crates/wb-entry/src/front/stream.rs
+++ b/crates/wb-entry/src/front/stream.rs
@@ -21,11 +21,13 @@
 
 use crate::service::Guard;
 
-/// A body that fails when it pauses for too long.
+/// A body that fails when it pauses for too long. A pause begins when a byte is asked for and none
+/// is there: a body that nobody reads does not pause.
 pub struct Timed<B> {
     body: B,
     idle: Duration,
     pause: Pin<Box<Sleep>>,
+    pausing: bool,
     broken: Arc<AtomicBool>,
 }
 
@@ -36,6 +38,7 @@
             body,
             idle,
             pause: Box::pin(tokio::time::sleep(idle)),
+            pausing: false,
             broken,
         }
     }
@@ -56,8 +59,7 @@
         let this = &mut *self;
         match Pin::new(&mut this.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
-                let next = tokio::time::Instant::now() + this.idle;
-                this.pause.as_mut().reset(next);
+                this.pausing = false;
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(err))) => {
@@ -66,6 +68,11 @@
             }
             Poll::Ready(None) => Poll::Ready(None),
             Poll::Pending => {
+                if !this.pausing {
+                    this.pausing = true;
+                    let end = tokio::time::Instant::now() + this.idle;
+                    this.pause.as_mut().reset(end);
+                }
                 if this.pause.as_mut().poll(cx).is_pending() {
                     return Poll::Pending;
                 }
--- a/crates/wb-load/tests/processes.rs
+++ b/crates/wb-load/tests/processes.rs
@@ -55,6 +55,7 @@
 scenarios! {
     at_most_once: "at-most-once.txt",
     graceful_shutdown: "graceful.txt",
+    long_upload: "long-upload.txt",
     leaving_server: "leaving.txt",
     one_way_link: "one-way.txt",
     table_edits: "table.txt",
