test: decisions, limits, membership, placement, records and connections on virtual time; slopes

The test a_lost_domain_leaves_the_other_owners_as_they_were was red: servers whose domain had lost its homes took room first and moved servers of other domains; they are placed last now.

--- /dev/null
+++ b/crates/wb-dispatch/tests/fairness.rs
@@ -0,0 +1,278 @@
+//! Shares at the crest, limits and bounds, on virtual time, against first come first served.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use wb_dispatch::Dispatch;
+use wb_dispatch::Options;
+use wb_dispatch::Policy;
+use wb_dispatch::Verdict;
+use wb_dispatch::WorkKey;
+use wb_dispatch::policy::Place;
+use wb_types::policy::Row;
+use wb_types::policy::RowKey;
+use wb_types::roster::Server;
+use wb_types::roster::Stay;
+use wb_types::work::Ending;
+use wb_types::work::Length;
+use wb_types::work::Work;
+
+const SLOTS: u32 = 6;
+const WORK: Duration = Duration::from_millis(40);
+const STEP: Duration = Duration::from_millis(1);
+
+fn row(class: &str, weight: u32, rate: f64) -> Row {
+    Row {
+        key: RowKey {
+            service: "registry".into(),
+            class: class.into(),
+        },
+        weight,
+        rate,
+        concurrency: 10_000,
+        queue: 10_000,
+        wait: Duration::from_millis(150),
+        deadline: Duration::from_secs(5),
+        floor: 50,
+    }
+}
+
+fn server(index: usize) -> Server {
+    Server {
+        name: format!("s{index}").into(),
+        service: "registry".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: "a".into(),
+        slots: SLOTS,
+        connections: 300,
+        stay: Stay::Live,
+    }
+}
+
+fn dispatch(rows: &[Row], servers: usize) -> Dispatch {
+    let mut dispatch = Dispatch::new(Options {
+        me: "entry-1".into(),
+        domain: "a".into(),
+        service: "registry".into(),
+        retries: 0.1,
+        copies: 0.1,
+        health: wb_health::Options::default(),
+        seed: 1,
+    });
+    dispatch.set_rows(rows, 1, 50);
+    let place = Place {
+        owned: (0..servers).map(server).collect(),
+        others: Vec::new(),
+        fleet: 1,
+    };
+    dispatch.place(&place, Duration::ZERO);
+    dispatch
+}
+
+/// One class's demand.
+#[derive(Clone, Copy)]
+struct Demand {
+    class: &'static str,
+    caller: &'static str,
+    per_second: f64,
+    length: Length,
+    takes: Duration,
+}
+
+fn short(class: &'static str, caller: &'static str, per_second: f64) -> Demand {
+    Demand {
+        class,
+        caller,
+        per_second,
+        length: Length::Short,
+        takes: WORK,
+    }
+}
+
+/// What became of a demand, by caller.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    run: u32,
+    refused: u32,
+    waited: Duration,
+}
+
+/// Runs demand for a time; gives what each caller got.
+fn run(dispatch: &mut Dispatch, demands: &[Demand], time: Duration) -> BTreeMap<String, Served> {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut served: BTreeMap<String, Served> = BTreeMap::new();
+    let mut jobs: BTreeMap<WorkKey, (String, Duration)> = BTreeMap::new();
+    let mut ends: Vec<(Duration, WorkKey)> = Vec::new();
+    let mut now = Duration::ZERO;
+    let mut count = 0;
+    while now < time {
+        now += STEP;
+        for demand in demands {
+            let mut left = demand.per_second * STEP.as_secs_f64();
+            while rng.random::<f64>() < left {
+                left -= 1.0;
+                count += 1;
+                let key = dispatch.offer(work(demand, count, now), now);
+                jobs.insert(key, (demand.caller.to_owned(), demand.takes));
+            }
+        }
+        let (over, open): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(end, _)| *end <= now);
+        ends = open;
+        for (_, key) in over {
+            dispatch.finish(key, Ending::Good(WORK), None, now);
+        }
+        dispatch.tick(now);
+        for decision in dispatch.decisions() {
+            let (caller, takes) = jobs.remove(&decision.key).expect("decided once");
+            let served = served.entry(caller).or_default();
+            if let Verdict::Run(_) = decision.verdict {
+                served.run += 1;
+                served.waited = served.waited.max(decision.account.waited);
+                ends.push((now + takes, decision.key));
+            } else {
+                served.refused += 1;
+                dispatch.finish(decision.key, Ending::Void, None, now);
+            }
+        }
+    }
+    served
+}
+
+fn work(demand: &Demand, count: u32, now: Duration) -> Work {
+    Work {
+        id: format!("r{count}").into(),
+        row: RowKey {
+            service: "registry".into(),
+            class: demand.class.into(),
+        },
+        caller: demand.caller.into(),
+        idempotent: false,
+        length: demand.length,
+        deadline: now + Duration::from_secs(5),
+        hops: 0,
+        admitted: false,
+    }
+}
+
+#[test]
+fn classes_get_their_weights_at_twice_the_capacity() {
+    let rows = [
+        row("relief", 5, 1e6),
+        row("outfitters", 3, 1e6),
+        row("herders", 2, 1e6),
+    ];
+    let mut dispatch = dispatch(&rows, 5);
+    // 30 slots of 40 ms: 750 a second. Each class asks for more than its share.
+    let demands = [
+        short("relief", "a", 500.0),
+        short("outfitters", "b", 500.0),
+        short("herders", "c", 500.0),
+    ];
+    let served = run(&mut dispatch, &demands, Duration::from_secs(20));
+    let total: u32 = served.values().map(|served| served.run).sum();
+    assert!(
+        f64::from(total) >= 0.95 * 750.0 * 20.0,
+        "slots stood free: {total}"
+    );
+    for (caller, weight) in [("a", 0.5), ("b", 0.3), ("c", 0.2)] {
+        let share = f64::from(served[caller].run) / f64::from(total);
+        assert!((share - weight).abs() <= 0.05 * weight, "{caller}: {share}");
+        assert!(served[caller].waited <= Duration::from_millis(150));
+    }
+}
+
+#[test]
+fn callers_of_a_class_get_even_parts_whatever_they_ask() {
+    let rows = [row("relief", 1, 1e6)];
+    let mut dispatch = dispatch(&rows, 5);
+    let demands = [
+        short("relief", "greedy", 2000.0),
+        short("relief", "modest", 300.0),
+    ];
+    let served = run(&mut dispatch, &demands, Duration::from_secs(10));
+    let share = f64::from(served["modest"].run) / 3000.0;
+    assert!(
+        share >= 0.95,
+        "the modest caller got {share} of what it asked"
+    );
+    // First come first served gives it the same part as the greedy one: 750 of 2300.
+    assert!(share > 2.0 * 750.0 / 2300.0);
+}
+
+#[test]
+fn a_rate_limit_holds() {
+    let rows = [row("relief", 1, 100.0)];
+    let mut dispatch = dispatch(&rows, 5);
+    let served = run(
+        &mut dispatch,
+        &[short("relief", "a", 500.0)],
+        Duration::from_secs(10),
+    );
+    let rate = f64::from(served["a"].run) / 10.0;
+    assert!((95.0..=105.0).contains(&rate), "{rate} a second");
+}
+
+#[test]
+fn long_work_leaves_slots_to_short_work_and_still_goes_on() {
+    let rows = [row("relief", 1, 1e6), row("photos", 1, 1e6)];
+    let mut dispatch = dispatch(&rows, 2);
+    let long = Demand {
+        class: "photos",
+        caller: "inspector",
+        per_second: 100.0,
+        length: Length::Long,
+        takes: Duration::from_secs(2),
+    };
+    let demands = [short("relief", "a", 100.0), long];
+    let served = run(&mut dispatch, &demands, Duration::from_secs(20));
+    assert_eq!(served["a"].refused, 0);
+    assert!(
+        served["a"].waited <= Duration::from_millis(60),
+        "{:?}",
+        served["a"].waited
+    );
+    // Half of the 12 slots, 2 s each.
+    assert!(served["inspector"].run >= 50, "{}", served["inspector"].run);
+}
+
+#[test]
+fn every_request_is_decided_once_and_slots_are_never_overused() {
+    let rows = [row("relief", 1, 1e6)];
+    let mut dispatch = dispatch(&rows, 3);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut running: Vec<WorkKey> = Vec::new();
+    let mut offered = 0;
+    let mut decided = 0;
+    let mut now = Duration::ZERO;
+    for _ in 0..5000 {
+        now += Duration::from_millis(rng.random_range(0..30));
+        for _ in 0..rng.random_range(0..6) {
+            offered += 1;
+            dispatch.offer(work(&short("relief", "a", 0.0), offered, now), now);
+        }
+        if !running.is_empty() && rng.random() {
+            let key = running.swap_remove(rng.random_range(0..running.len()));
+            let endings = [Ending::Good(WORK), Ending::Bad, Ending::Shed, Ending::Void];
+            let ending = endings[rng.random_range(0..endings.len())];
+            dispatch.finish(key, ending, None, now);
+        }
+        dispatch.tick(now);
+        for decision in dispatch.decisions() {
+            decided += 1;
+            match decision.verdict {
+                Verdict::Run(_) => running.push(decision.key),
+                _ => dispatch.finish(decision.key, Ending::Void, None, now),
+            }
+        }
+        let busy: u32 = dispatch.servers().iter().map(|server| server.busy).sum();
+        assert_eq!(busy as usize, running.len());
+        assert!(dispatch.servers().iter().all(|server| server.busy <= SLOTS));
+    }
+    now += Duration::from_secs(10);
+    dispatch.tick(now);
+    decided += dispatch.decisions().len() as u32;
+    assert_eq!(decided, offered);
+}
--- /dev/null
+++ b/crates/wb-dispatch/tests/limits.rs
@@ -0,0 +1,86 @@
+//! A row's rate over several homes, with uneven demand and homes that are cut off.
+
+use std::time::Duration;
+
+use wb_dispatch::budget::Budget;
+use wb_dispatch::limit::Bucket;
+use wb_dispatch::limit::Other;
+use wb_dispatch::limit::next_share;
+
+/// Shares of homes after rounds of exchange; `cut` homes neither tell nor hear.
+fn shares(demands: &[f64], cut: &[usize], rounds: usize) -> Vec<f64> {
+    let count = demands.len();
+    let mut shares = vec![1.0 / count as f64; count];
+    for _ in 0..rounds {
+        for home in 0..count {
+            let others: Vec<Other> = (0..count)
+                .filter(|other| *other != home)
+                .map(|other| Other {
+                    demand: demands[other],
+                    share: if cut.contains(&other) || cut.contains(&home) {
+                        1.0 / count as f64
+                    } else {
+                        shares[other]
+                    },
+                    heard: !cut.contains(&other) && !cut.contains(&home),
+                })
+                .collect();
+            shares[home] = next_share(demands[home], count, &others);
+        }
+    }
+    shares
+}
+
+macro_rules! limits {
+    ($($name:ident: $demands:expr, $cut:expr, at_least $used:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let shares = shares(&$demands, &$cut, 50);
+                let total: f64 = shares.iter().sum();
+                assert!(total <= 1.0 + 1e-9, "{shares:?}");
+                // What can be admitted of a demand of twice the limit, by all homes together.
+                let all: f64 = $demands.iter().sum();
+                let used: f64 = shares
+                    .iter()
+                    .zip($demands)
+                    .map(|(share, demand)| share.min(2.0 * demand / all))
+                    .sum();
+                assert!(used >= $used, "{used} of the limit with {shares:?}");
+            }
+        )*
+    };
+}
+
+limits! {
+    even_demand: [100.0, 100.0, 100.0], [], at_least 0.95;
+    uneven_demand: [1000.0, 10.0, 10.0], [], at_least 0.9;
+    one_home_only: [1000.0, 0.0, 0.0], [], at_least 0.9;
+    a_home_cut_off: [100.0, 100.0, 100.0], [2], at_least 0.95;
+    the_busy_home_cut_off: [1000.0, 10.0, 10.0], [0], at_least 0.3;
+}
+
+#[test]
+fn a_bucket_holds_its_rate() {
+    let mut bucket = Bucket::default();
+    let taken = (0..100_000u64)
+        .filter(|tick| bucket.take(50.0, Duration::from_micros(tick * 100)))
+        .count();
+    assert!(
+        (500..=506).contains(&taken),
+        "{taken} in 10 s at 50 a second"
+    );
+}
+
+#[test]
+fn retries_stay_within_a_tenth() {
+    let mut budget = Budget::new(0.1, 10.0);
+    let mut extra = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        while budget.spend() {
+            extra += 1;
+        }
+    }
+    assert!(extra <= 1010, "{extra} retries of 10000 requests");
+}
--- a/crates/wb-entry/src/fleet/actor.rs
+++ b/crates/wb-entry/src/fleet/actor.rs
@@ -44,6 +44,7 @@
     pub(super) listed: bool,
     pub(super) leavers: Leavers,
     isolated: bool,
+    ready: bool,
     deaf: bool,
     polling: bool,
 }
@@ -99,6 +100,7 @@
             listed: false,
             leavers: Leavers::default(),
             isolated: false,
+            ready: false,
             deaf: false,
             polling: false,
         })
@@ -145,6 +147,7 @@
             emit!(Event::Isolated, "isolated={isolated} deaf={deaf}");
             self.place();
         }
+        self.tell_ready();
         if let Some(target) = self.members.target() {
             let helpers = self.members.helpers(&target.name, exchange::HELPERS);
             let news = self.news();
@@ -154,6 +157,16 @@
         }
     }
 
+    /// Logs that the instance has all it needs, once.
+    fn tell_ready(&mut self) {
+        let table = self.context.table().newest();
+        if self.ready || !self.listed || table == 0 {
+            return;
+        }
+        self.ready = true;
+        emit!(Event::Ready, "table={table}");
+    }
+
     /// Without any member, asks the seeds for the policy table.
     fn ask_seeds(&mut self, me: &ActorRef<FleetMessage>) {
         for seed in self.context.settings.fleet.seeds.clone() {
--- a/crates/wb-load/src/fleet/control.rs
+++ b/crates/wb-load/src/fleet/control.rs
@@ -152,6 +152,36 @@
     }
 }
 
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Processor time.
+    pub cpu: Duration,
+    /// Resident memory, in bytes.
+    pub memory: u64,
+}
+
+/// Processor time of one clock tick of the system's process statistics.
+const TICK: Duration = Duration::from_millis(10);
+/// Size of a memory page, in bytes.
+const PAGE: u64 = 4096;
+
+impl Usage {
+    /// What a process has used, from the system's statistics.
+    pub fn of(process: u32) -> Option<Self> {
+        let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+        let (_, rest) = stat.rsplit_once(')')?;
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        let user: u32 = fields.get(11)?.parse().ok()?;
+        let system: u32 = fields.get(12)?.parse().ok()?;
+        let pages: u64 = fields.get(21)?.parse().ok()?;
+        Some(Self {
+            cpu: TICK * (user + system),
+            memory: pages * PAGE,
+        })
+    }
+}
+
 /// Counts of the backend servers behind a control address.
 ///
 /// # Errors
--- a/crates/wb-load/src/fleet/mod.rs
+++ b/crates/wb-load/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::deploy::Deployment;
 
+pub use control::Usage;
 pub use control::stats;
 pub use start::Options;
 
--- a/crates/wb-load/src/lib.rs
+++ b/crates/wb-load/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`fleet`]: a small fleet of real processes.
 //! - [`caller`]: a caller that asks for addresses, keeps them, and checks every answer.
 //! - [`demo`], [`mixed`], [`soak`]: runs with one purpose each.
+//! - [`slopes`]: what state, messages and decisions cost, at several sizes.
 //! - [`scenario`]: steps of scripted scenarios on real processes.
 //! - [`experiment`]: runs described by a file, with faults and comparison.
 
@@ -14,4 +15,5 @@
 pub mod fleet;
 pub mod mixed;
 pub mod scenario;
+pub mod slopes;
 pub mod soak;
--- a/crates/wb-load/src/main.rs
+++ b/crates/wb-load/src/main.rs
@@ -10,6 +10,7 @@
 use wb_load::fleet::Fleet;
 use wb_load::fleet::Options;
 use wb_load::mixed;
+use wb_load::slopes;
 use wb_load::soak;
 
 mod flags {
@@ -52,6 +53,10 @@
                 /// Number of orders; 100000 if not given.
                 optional --orders count: usize
             }
+            /// Costs of state, messages and decisions at several sizes.
+            cmd slopes {
+                required example: PathBuf
+            }
             /// Runs an experiment file.
             cmd experiment {
                 required file: PathBuf
@@ -107,6 +112,10 @@
             let mut fleet = Fleet::start(options(run.example, "soak")).await?;
             soak::run(&mut fleet, run.orders.unwrap_or(100_000), seed).await
         }
+        WisteriaLoadCmd::Slopes(run) => {
+            slopes::run(&run.example, &out).await?;
+            Ok(true)
+        }
         WisteriaLoadCmd::Experiment(run) => {
             let plan = Plan::read(&run.file)?;
             let policies = run.compare.unwrap_or_else(|| "naive,ours".to_owned());
--- a/crates/wb-members/src/place/owners.rs
+++ b/crates/wb-members/src/place/owners.rs
@@ -31,7 +31,8 @@
     }
     let mut loads: Vec<Load<'_>> = homes.iter().map(|home| Load { home, slots: 0 }).collect();
     let mut sorted: Vec<&Server> = servers.iter().collect();
-    sorted.sort_by(|a, b| a.name.cmp(&b.name));
+    // Servers without a home in their domain come last, so that they move no others.
+    sorted.sort_by_key(|server| (!has_near(server, homes), server.name.clone()));
     let mut owners = Vec::new();
     for server in &sorted {
         let part = even_part(&sorted, homes, server);
--- /dev/null
+++ b/crates/wb-members/tests/place.rs
@@ -0,0 +1,90 @@
+//! Homes and owners: spread, balance and stability.
+
+use wb_members::place::homes;
+use wb_members::place::owners;
+use wb_types::roster::Instance;
+use wb_types::roster::Server;
+use wb_types::roster::Stay;
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+fn instances(count: usize) -> Vec<Instance> {
+    (0..count)
+        .map(|index| Instance {
+            name: format!("entry{index:02}").into(),
+            callers: "127.0.0.1:1".parse().expect("an address"),
+            peers: "127.0.0.1:1".parse().expect("an address"),
+            domain: DOMAINS[index % 3].into(),
+            stay: Stay::Live,
+        })
+        .collect()
+}
+
+fn servers(count: usize) -> Vec<Server> {
+    (0..count)
+        .map(|index| Server {
+            name: format!("s{index:02}").into(),
+            service: "registry".into(),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            domain: DOMAINS[index % 3].into(),
+            slots: 6,
+            connections: 300,
+            stay: Stay::Live,
+        })
+        .collect()
+}
+
+#[test]
+fn each_domain_has_homes_and_each_server_an_owner_in_its_domain() {
+    let live = instances(40);
+    let homes = homes("registry", &live, 2);
+    assert_eq!(homes.len(), 6);
+    for owner in owners(&servers(20), &homes) {
+        let server = servers(20)
+            .into_iter()
+            .find(|server| server.name == owner.server);
+        let home = homes.iter().find(|home| home.name == owner.home);
+        let (server, home) = (server.expect("known"), home.expect("a home"));
+        assert_eq!(server.domain, home.domain);
+    }
+}
+
+#[test]
+fn a_lost_domain_leaves_the_other_owners_as_they_were() {
+    let live = instances(40);
+    let before = owners(&servers(20), &homes("registry", &live, 2));
+    let rest: Vec<Instance> = live.into_iter().filter(|one| &*one.domain != "a").collect();
+    let after = owners(&servers(20), &homes("registry", &rest, 2));
+    for old in &before {
+        let index: usize = old.server[1..].parse().expect("names are numbered");
+        if index % 3 != 0 {
+            assert!(after.contains(old), "{old:?}");
+        }
+    }
+}
+
+#[test]
+fn one_instance_that_goes_moves_only_its_own_servers_much() {
+    let live = instances(40);
+    let set = homes("registry", &live, 1);
+    let before = owners(&servers(20), &set);
+    let gone = set[0].name.clone();
+    let rest: Vec<Instance> = live.into_iter().filter(|one| one.name != gone).collect();
+    let after = owners(&servers(20), &homes("registry", &rest, 1));
+    let mut moved = before.iter().filter(|old| !after.contains(old));
+    assert!(moved.all(|old| old.home == gone));
+}
+
+#[test]
+fn homes_of_many_services_spread_over_the_fleet() {
+    let live = instances(40);
+    let mut roles = std::collections::BTreeMap::new();
+    for service in 0..430 {
+        for home in homes(&format!("service-{service}"), &live, 1) {
+            *roles.entry(home.name).or_insert(0u32) += 1;
+        }
+    }
+    // 430 services with 3 homes over 40 instances: 32 roles each on average.
+    assert_eq!(roles.len(), 40);
+    assert!(roles.values().all(|count| *count < 64), "{roles:?}");
+}
