perf: cheaper decisions, and homes tell each other only what changed

Cause: a decision sorted the rates of all servers for each piece of evidence, compared state names and copied the names of all candidates; homes exchanged all rows ten times a second.

--- a/crates/wb-dispatch/src/choice.rs
+++ b/crates/wb-dispatch/src/choice.rs
@@ -1,7 +1,7 @@
 //! Which server, and which other home.
 
 use rand::Rng;
-use rand::seq::IndexedRandom;
+use rand::seq::IteratorRandom;
 
 use crate::policy::Candidate;
 
@@ -14,16 +14,11 @@
     if near { share + NEAR } else { share }
 }
 
-/// Index of the best candidate; ties are broken at random.
-pub fn best(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
-    let top = candidates
-        .iter()
-        .map(|candidate| candidate.score)
-        .max_by(f32::total_cmp)?;
-    let ties: Vec<usize> = (0..candidates.len())
-        .filter(|index| candidates[*index].score >= top)
-        .collect();
-    ties.choose(rng).copied()
+/// Index of the best score; ties are broken at random.
+pub fn best(scores: impl Iterator<Item = f32> + Clone, rng: &mut impl Rng) -> Option<usize> {
+    let top = scores.clone().max_by(f32::total_cmp)?;
+    let ties = scores.enumerate().filter(|(_, score)| *score >= top);
+    ties.map(|(index, _)| index).choose(rng)
 }
 
 /// Index of the better of two candidates drawn at random. What is known of other homes is stale;
--- a/crates/wb-dispatch/src/dispatch/decide.rs
+++ b/crates/wb-dispatch/src/dispatch/decide.rs
@@ -17,9 +17,6 @@
 use crate::policy::Verdict;
 use crate::queue::Next;
 
-/// Candidates that an account keeps.
-const CANDIDATES_MAX: usize = 8;
-
 impl Dispatch {
     /// Gives all free slots away, then passes work to homes with free ones.
     pub(super) fn decide(&mut self, now: Moment) {
@@ -54,16 +51,15 @@
             self.refuse(key, Reason::Deadline, now);
             return;
         }
-        let found = self.candidates(length, now);
-        let (keys, mut candidates): (Vec<_>, Vec<_>) = found.into_iter().unzip();
-        let Some(index) = choice::best(&candidates, &mut self.rng) else {
+        let open = self.open(length, now);
+        let scores = open.iter().map(|open| open.score);
+        let Some(index) = choice::best(scores, &mut self.rng) else {
             self.refuse(key, Reason::NoCapacity, now);
             return;
         };
-        let server = keys[index];
+        let server = open[index].key;
+        let candidates = self.candidates(&open, index);
         self.occupy(key, server, now);
-        candidates.swap(0, index);
-        candidates.truncate(CANDIDATES_MAX);
         let account = Account {
             tag: next.tag,
             candidates,
--- a/crates/wb-dispatch/src/dispatch/homes.rs
+++ b/crates/wb-dispatch/src/dispatch/homes.rs
@@ -1,5 +1,7 @@
 //! The other homes of the service.
 
+use std::time::Duration;
+
 use wb_types::id::InstanceName;
 use wb_types::id::Moment;
 use wb_types::member::HomeLoad;
@@ -10,6 +12,7 @@
 use super::Dispatch;
 use super::SILENCE;
 use super::Stage;
+use super::Told;
 use super::WorkKey;
 use crate::choice;
 use crate::limit;
@@ -18,6 +21,11 @@
 use crate::policy::Decision;
 use crate::policy::Verdict;
 
+/// Time after which all rows are told again.
+const TOLD_LIFE: Duration = Duration::from_millis(400);
+/// Relative change that is told at once.
+const DIFFERENCE: f32 = 0.1;
+
 impl Dispatch {
     pub(super) fn take_load(&mut self, load: &HomeLoad, now: Moment) {
         let home = self.homes.iter_mut().find(|home| home.name == load.home);
@@ -28,7 +36,10 @@
         home.waiting = load.waiting;
         home.healthy = load.healthy;
         home.heard = Some(now);
-        home.rows.clone_from(&load.rows);
+        for row in &load.rows {
+            home.rows.retain(|known| known.row != row.row);
+            home.rows.push(row.clone());
+        }
         self.decide(now);
     }
 
@@ -106,22 +117,42 @@
     pub(super) fn tell(&mut self, now: Moment) -> HomeLoad {
         let free = self.free_all(Length::Short, now);
         let waiting = self.queues.waiting(Length::Short) + self.queues.waiting(Length::Long);
-        let rows = self.rows.values_mut().map(|state| RowLoad {
-            row: state.row.key.clone(),
-            demand: state.demand.rate(now) as f32,
-            share: state.share as f32,
-        });
+        let all = now >= self.told_until;
+        if all {
+            self.told_until = now + TOLD_LIFE;
+        }
+        let mut rows = Vec::new();
+        for state in self.rows.values_mut() {
+            let load = RowLoad {
+                row: state.row.key.clone(),
+                demand: state.demand.rate(now) as f32,
+                share: state.share as f32,
+            };
+            if all || differs(&load, &state.told) {
+                state.told = Told {
+                    demand: load.demand,
+                    share: load.share,
+                };
+                rows.push(load);
+            }
+        }
         HomeLoad {
             home: self.options.me.clone(),
             service: self.options.service.clone(),
             free,
             waiting: waiting as u32,
             healthy: self.ward.healthy_slots(now),
-            rows: rows.collect(),
+            rows,
         }
     }
 }
 
+/// Whether a row has changed by more than a tenth since it was told.
+fn differs(load: &RowLoad, told: &Told) -> bool {
+    let apart = |a: f32, b: f32| (a - b).abs() > DIFFERENCE * a.max(b).max(DIFFERENCE);
+    apart(load.demand, told.demand) || apart(load.share, told.share)
+}
+
 fn others_of(homes: &[super::Home], row: &RowKey, count: usize, now: Moment) -> Vec<limit::Other> {
     let even = 1.0 / count as f64;
     let view = |home: &super::Home| {
--- a/crates/wb-dispatch/src/dispatch/init.rs
+++ b/crates/wb-dispatch/src/dispatch/init.rs
@@ -43,6 +43,7 @@
             homes: Vec::new(),
             order: 0,
             placed: false,
+            told_until: Moment::ZERO,
             decisions: Vec::new(),
             changes: Vec::new(),
         }
@@ -67,6 +68,7 @@
                 demand: Demand::default(),
                 share: even,
                 running: 0,
+                told: Default::default(),
             };
             self.rows.insert(class.clone(), state);
         }
--- a/crates/wb-dispatch/src/dispatch/mod.rs
+++ b/crates/wb-dispatch/src/dispatch/mod.rs
@@ -101,6 +101,14 @@
     demand: Demand,
     share: f64,
     running: u32,
+    told: Told,
+}
+
+/// What the other homes were told of a row last.
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    demand: f32,
+    share: f32,
 }
 
 /// Another home.
@@ -130,6 +138,7 @@
     copies: Budget,
     order: u64,
     placed: bool,
+    told_until: Moment,
     decisions: Vec<Decision>,
     changes: Vec<Change>,
     rng: SmallRng,
--- a/crates/wb-dispatch/src/dispatch/slots.rs
+++ b/crates/wb-dispatch/src/dispatch/slots.rs
@@ -9,6 +9,17 @@
 use crate::choice;
 use crate::policy::Candidate;
 
+/// Candidates that an account keeps.
+const CANDIDATES_MAX: usize = 8;
+
+/// A server in rotation with a free slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Open {
+    pub(super) key: ServerKey,
+    pub(super) free: u32,
+    pub(super) score: f32,
+}
+
 impl Usage {
     /// Slots that long work may hold.
     fn long_slots(&self) -> u32 {
@@ -60,7 +71,7 @@
     }
 
     /// Servers in rotation with a free slot, scored.
-    pub(super) fn candidates(&self, length: Length, now: Moment) -> Vec<(ServerKey, Candidate)> {
+    pub(super) fn open(&self, length: Length, now: Moment) -> Vec<Open> {
         let mut found = Vec::new();
         for (key, usage) in &self.usage {
             if !self.ward.serves(key) {
@@ -71,16 +82,27 @@
                 continue;
             }
             let near = usage.server.domain == self.options.domain;
-            let candidate = Candidate {
-                name: usage.server.name.clone(),
+            found.push(Open {
+                key,
                 free,
                 score: choice::score(free, usage.server.slots, near),
-            };
-            found.push((key, candidate));
+            });
         }
         found
     }
 
+    /// The chosen server and the first of the others, as an account keeps them.
+    pub(super) fn candidates(&self, open: &[Open], chosen: usize) -> Vec<Candidate> {
+        let others = (0..open.len()).filter(|index| *index != chosen);
+        let kept = std::iter::once(chosen).chain(others).take(CANDIDATES_MAX);
+        kept.map(|index| Candidate {
+            name: self.usage[open[index].key].server.name.clone(),
+            free: open[index].free,
+            score: open[index].score,
+        })
+        .collect()
+    }
+
     /// A server that needs evidence and has a free slot.
     pub(super) fn copy_target(&self, now: Moment) -> Option<ServerKey> {
         let mut keys = self.usage.keys();
--- a/crates/wb-entry/src/fleet/actor.rs
+++ b/crates/wb-entry/src/fleet/actor.rs
@@ -1,5 +1,6 @@
 //! Messages of the fleet's actor.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 use super::Answered;
 use super::FleetMessage;
 use super::exchange;
+use super::exchange::Told;
 use super::leavers::Leavers;
 use crate::Context;
 use crate::rules::Heard;
@@ -43,6 +45,7 @@
     pub(super) roster: Roster,
     pub(super) listed: bool,
     pub(super) leavers: Leavers,
+    pub(super) told: HashMap<InstanceName, Told>,
     isolated: bool,
     ready: bool,
     deaf: bool,
@@ -99,6 +102,7 @@
             roster: Roster::default(),
             listed: false,
             leavers: Leavers::default(),
+            told: HashMap::new(),
             isolated: false,
             ready: false,
             deaf: false,
--- a/crates/wb-entry/src/fleet/exchange.rs
+++ b/crates/wb-entry/src/fleet/exchange.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ractor::ActorRef;
+use wb_types::id::Moment;
 use wb_types::member::HomeLoad;
 use wb_types::member::News;
 use wb_types::roster::Instance;
@@ -23,6 +24,15 @@
 /// Instances that are asked for an indirect probe.
 pub(super) const HELPERS: usize = 3;
 
+/// Time after which load is told even if it is the same.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+
+/// What another home was told last.
+pub(super) struct Told {
+    loads: Vec<HomeLoad>,
+    until: Moment,
+}
+
 /// Probes a member directly, then through others.
 pub(super) fn probe(
     context: Arc<Context>,
@@ -99,9 +109,21 @@
                 }
             }
         }
+        let now = self.context.clock.now();
         for (name, peer) in peers {
+            let loads = self.loads_for(&name);
+            let told = self.told.get(&name);
+            let same = told.is_some_and(|told| told.loads == loads && now < told.until);
+            if same {
+                continue;
+            }
+            let told = Told {
+                loads: loads.clone(),
+                until: now + HEARTBEAT,
+            };
+            self.told.insert(name, told);
             let news = News {
-                loads: self.loads_for(&name),
+                loads,
                 ..self.news()
             };
             tell(self.context.clone(), me.clone(), peer, news);
--- a/crates/wb-entry/src/service/actor.rs
+++ b/crates/wb-entry/src/service/actor.rs
@@ -78,6 +78,7 @@
             lengths: Default::default(),
             waiting: HashMap::new(),
             owned: false,
+            load_due: Duration::ZERO,
             me,
         };
         state.take_table();
@@ -149,6 +150,10 @@
         }
         let now = self.context.clock.now();
         self.policy.tick(now);
+        if now < self.load_due {
+            return;
+        }
+        self.load_due = now + self.context.settings.fleet.exchange;
         let load = self.policy.load(now);
         let mut loads = self.context.loads.write().expect("no holder panics");
         loads.insert(self.service.clone(), load);
--- a/crates/wb-entry/src/service/mod.rs
+++ b/crates/wb-entry/src/service/mod.rs
@@ -16,6 +16,7 @@
 use wb_dispatch::policy::Report;
 use wb_dispatch::policy::ServerView;
 use wb_types::id::InstanceName;
+use wb_types::id::Moment;
 use wb_types::id::ServerName;
 use wb_types::id::ServiceName;
 use wb_types::member::HomeLoad;
@@ -99,6 +100,7 @@
     lengths: wb_dispatch::length::Lengths,
     waiting: HashMap<WorkKey, Waiting>,
     owned: bool,
+    load_due: Moment,
     me: ActorRef<ServiceMessage>,
 }
 
--- a/crates/wb-health/src/ward/access.rs
+++ b/crates/wb-health/src/ward/access.rs
@@ -15,7 +15,7 @@
 impl Patient {
     /// Whether the chart has the server in rotation.
     pub(super) fn in_rotation(&self) -> bool {
-        matches!(self.machine.state(), "healthy" | "suspect")
+        self.rotation
     }
 
     fn warmth(&self, now: Moment, warmup: Duration) -> f64 {
--- a/crates/wb-health/src/ward/init.rs
+++ b/crates/wb-health/src/ward/init.rs
@@ -9,6 +9,7 @@
 use wb_types::id::ServerName;
 
 use super::Patient;
+use super::Rates;
 use super::ServerKey;
 use super::Ward;
 use crate::Options;
@@ -40,6 +41,7 @@
             chart: Arc::new(chart),
             floor: 0,
             baseline: Baseline::default(),
+            rates: Rates::default(),
             servers: slotmap::SlotMap::with_key(),
         }
     }
@@ -73,6 +75,7 @@
             warm,
             settled,
             machine: Machine::new(self.chart.clone()),
+            rotation: true,
             score: Score::default(),
             flaps: 0,
             trials: 0,
--- a/crates/wb-health/src/ward/judge.rs
+++ b/crates/wb-health/src/ward/judge.rs
@@ -1,5 +1,7 @@
 //! Evidence and what follows from it.
 
+use std::time::Duration;
+
 use wb_types::id::Moment;
 
 use super::Change;
@@ -11,6 +13,8 @@
 
 /// Other servers with evidence that are needed to tell what is usual.
 const OTHERS_MIN: usize = 2;
+/// Time for which the sorted rates are used.
+const RATES_LIFE: Duration = Duration::from_millis(50);
 /// Multiple of the usual share of bad work that sets a sick server apart. Evidence that was
 /// gathered before the others turned bad too is void.
 const APART: f64 = 3.0;
@@ -22,7 +26,7 @@
         if let Sample::Short(took) = sample {
             self.baseline.add(took);
         }
-        let usual = self.usual(key);
+        let usual = self.usual(key, now);
         let options = self.options.clone();
         let server = self.servers.get_mut(key)?;
         server.score.add(bad, usual, &options, now);
@@ -43,25 +47,45 @@
     }
 
     /// Share of bad work that is usual: the median of the other servers in rotation.
-    fn usual(&self, key: ServerKey) -> f64 {
-        let others = self.servers.iter().filter(|(other, _)| *other != key);
-        let mut rates: Vec<f64> = others
-            .filter(|(_, server)| server.in_rotation())
-            .map(|(_, server)| server.score.rate(&self.options))
-            .collect();
-        if rates.len() < OTHERS_MIN {
+    fn usual(&mut self, key: ServerKey, now: Moment) -> f64 {
+        self.renew_rates(now);
+        let Some(server) = self.servers.get(key) else {
+            return self.options.usual;
+        };
+        let sorted = &self.rates.sorted;
+        let own = server
+            .in_rotation()
+            .then(|| server.score.rate(&self.options));
+        let others = sorted.len() - usize::from(own.is_some()).min(sorted.len());
+        if others < OTHERS_MIN {
             return self.options.usual;
         }
-        rates.sort_by(f64::total_cmp);
-        rates[(rates.len() - 1) / 2]
+        // The server's own rate stands somewhere in the list: the median is that of the others.
+        let middle = (others - 1) / 2;
+        match own {
+            Some(own) if own <= sorted[middle] => sorted[middle + 1],
+            _ => sorted[middle],
+        }
+    }
+
+    /// Sorts the rates of the servers in rotation, unless that was done a moment ago.
+    fn renew_rates(&mut self, now: Moment) {
+        if now < self.rates.until {
+            return;
+        }
+        let rotation = self.servers.values().filter(|server| server.in_rotation());
+        let rates = rotation.map(|server| server.score.rate(&self.options));
+        self.rates.sorted = rates.collect();
+        self.rates.sorted.sort_by(f64::total_cmp);
+        self.rates.until = now + RATES_LIFE;
     }
 
     fn judge(&mut self, key: ServerKey, now: Moment) -> Option<Change> {
-        let server = self.servers.get(key)?;
-        let score = server.score.value();
+        let score = self.servers.get(key)?.score.value();
         if score >= self.options.eject {
-            let rate = server.score.rate(&self.options);
-            if rate >= self.usual(key) * APART {
+            self.rates.until = Moment::ZERO;
+            let rate = self.servers.get(key)?.score.rate(&self.options);
+            if rate >= self.usual(key, now) * APART {
                 return self.convict(key, now);
             }
             self.servers.get_mut(key)?.score.clear();
@@ -130,6 +154,7 @@
 pub(super) fn step(server: &mut Patient, event: &str, now: Moment) -> Option<Change> {
     let from = server.machine.state().to_owned();
     let to = server.machine.step(event)?.to_owned();
+    server.rotation = matches!(to.as_str(), "healthy" | "suspect");
     server.since = now;
     server.trials = 0;
     Some(Change {
--- a/crates/wb-health/src/ward/mod.rs
+++ b/crates/wb-health/src/ward/mod.rs
@@ -63,12 +63,20 @@
     warm: Moment,
     settled: Moment,
     machine: Machine,
+    rotation: bool,
     score: Score,
     flaps: u32,
     trials: u32,
     held: bool,
 }
 
+/// Shares of bad work of the servers in rotation, in order; renewed from time to time.
+#[derive(Clone, Debug, Default)]
+struct Rates {
+    sorted: Vec<f64>,
+    until: Moment,
+}
+
 /// Health of the servers of one service.
 #[derive(Clone, Debug)]
 pub struct Ward {
@@ -76,5 +84,6 @@
     chart: Arc<Chart>,
     floor: u32,
     baseline: Baseline,
+    rates: Rates,
     servers: slotmap::SlotMap<ServerKey, Patient>,
 }
