--- a/crates/wb-load/src/experiment/faults.rs
+++ b/crates/wb-load/src/experiment/faults.rs
@@ -34,6 +34,12 @@
             fault: fault.clone(),
             at: SystemTime::now(),
         });
+        let stamp = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?;
+        println!(
+            "fault {:?} at {:.3} s of the epoch",
+            fault.act,
+            stamp.as_secs_f64()
+        );
         apply(fleet, fault).await?;
     }
     Ok(happened)
--- a/crates/wb-load/src/lib.rs
+++ b/crates/wb-load/src/lib.rs
@@ -3,7 +3,7 @@
 //! - [`deploy`]: deployment files.
 //! - [`fleet`]: a small fleet of real processes.
 //! - [`caller`]: a caller that asks for addresses, keeps them, and checks every answer.
-//! - [`demo`], [`mixed`], [`soak`]: runs with one purpose each.
+//! - [`demo`], [`mixed`], [`soak`], [`edits`]: runs with one purpose each.
 //! - [`slopes`]: what state, messages and decisions cost, at several sizes.
 //! - [`scenario`]: steps of scripted scenarios on real processes.
 //! - [`experiment`]: runs described by a file, with faults and comparison.
@@ -11,6 +11,7 @@
 pub mod caller;
 pub mod demo;
 pub mod deploy;
+pub mod edits;
 pub mod experiment;
 pub mod fleet;
 pub mod mixed;
--- a/crates/wb-load/src/main.rs
+++ b/crates/wb-load/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use wb_load::demo;
+use wb_load::edits;
 use wb_load::experiment;
 use wb_load::experiment::Plan;
 use wb_load::fleet::Fleet;
@@ -53,6 +54,12 @@
                 /// Number of orders; 100000 if not given.
                 optional --orders count: usize
             }
+            /// Time until an accepted edit is in force at all instances.
+            cmd edits {
+                required example: PathBuf
+                /// Number of edits; 100 if not given.
+                optional --edits count: usize
+            }
             /// Costs of state, messages and decisions at several sizes.
             cmd slopes {
                 required example: PathBuf
@@ -112,6 +119,11 @@
             let mut fleet = Fleet::start(options(run.example, "soak")).await?;
             soak::run(&mut fleet, run.orders.unwrap_or(100_000), seed).await
         }
+        WisteriaLoadCmd::Edits(run) => {
+            let fleet = Fleet::start(options(run.example, "edits")).await?;
+            edits::run(&fleet, run.edits.unwrap_or(100)).await?;
+            Ok(true)
+        }
         WisteriaLoadCmd::Slopes(run) => {
             slopes::run(&run.example, &out).await?;
             Ok(true)
--- a/crates/wb-load/src/slopes/daemon.rs
+++ b/crates/wb-load/src/slopes/daemon.rs
@@ -15,6 +15,8 @@
 const SIZES: [usize; 4] = [6, 12, 24, 40];
 /// Requests per second at the fleet of 6.
 const RATES: [f64; 3] = [300.0, 900.0, 1800.0];
+/// Time until the news of the start has been told.
+const SETTLE: Duration = Duration::from_secs(8);
 /// Length of one measurement.
 const TIME: Duration = Duration::from_secs(6);
 
@@ -29,6 +31,7 @@
     println!("idle daemon: entries, % of a core, MiB resident, control bytes/s sent and received");
     for entries in SIZES {
         let fleet = start(example, out, entries).await?;
+        tokio::time::sleep(SETTLE).await;
         let spent = measure(&fleet, 0.0).await?;
         println!(
             "  {entries:>4} {:>6.2} {:>6.1} {:>8.0}",
