--- a/crates/wb-health/src/options.rs
+++ b/crates/wb-health/src/options.rs
@@ -36,9 +36,9 @@
         Self {
             sick: 0.5,
             usual: 0.01,
-            eject: 14.0,
+            eject: 17.0,
             doubt: 3.5,
-            slow: 5.0,
+            slow: 6.0,
             overdue: Duration::from_millis(200),
             rest: Duration::from_secs(5),
             limit: Duration::from_secs(300),
--- a/crates/wb-load/src/lib.rs
+++ b/crates/wb-load/src/lib.rs
@@ -4,10 +4,12 @@
 //! - [`fleet`]: a small fleet of real processes.
 //! - [`caller`]: a caller that asks for addresses, keeps them, and checks every answer.
 //! - [`demo`], [`mixed`], [`soak`], [`edits`]: runs with one purpose each.
+//! - [`alarms`]: wrong ejections and detection on virtual time.
 //! - [`slopes`]: what state, messages and decisions cost, at several sizes.
 //! - [`scenario`]: steps of scripted scenarios on real processes.
 //! - [`experiment`]: runs described by a file, with faults and comparison.
 
+pub mod alarms;
 pub mod caller;
 pub mod demo;
 pub mod deploy;
--- a/crates/wb-load/src/main.rs
+++ b/crates/wb-load/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use wb_load::alarms;
 use wb_load::demo;
 use wb_load::edits;
 use wb_load::experiment;
@@ -60,6 +61,11 @@
                 /// Number of edits; 100 if not given.
                 optional --edits count: usize
             }
+            /// Wrong ejections and detection on virtual time.
+            cmd alarms {
+                /// Server-hours; 1000 if not given.
+                optional --hours hours: f64
+            }
             /// Costs of state, messages and decisions at several sizes.
             cmd slopes {
                 required example: PathBuf
@@ -124,6 +130,10 @@
             edits::run(&fleet, run.edits.unwrap_or(100)).await?;
             Ok(true)
         }
+        WisteriaLoadCmd::Alarms(run) => {
+            alarms::run(run.hours.unwrap_or(1000.0), seed);
+            Ok(true)
+        }
         WisteriaLoadCmd::Slopes(run) => {
             slopes::run(&run.example, &out).await?;
             Ok(true)
