--- a/crates/wb-entry/src/fleet/actor.rs
+++ b/crates/wb-entry/src/fleet/actor.rs
@@ -186,12 +186,8 @@
         self.polling = true;
         let platform = self.context.platform.clone();
         let me = me.clone();
-        let mine = Roster {
-            instances: Vec::new(),
-            servers: Vec::new(),
-        };
         tokio::spawn(async move {
-            let roster = platform.roster().await.unwrap_or(mine);
+            let roster = platform.roster().await.unwrap_or_default();
             let _ = me.cast(FleetMessage::Listed(roster));
         });
     }
--- a/crates/wb-entry/src/front/answer.rs
+++ b/crates/wb-entry/src/front/answer.rs
@@ -30,10 +30,7 @@
 }
 
 /// The answer that tells a refusal.
-pub fn refuse(id: &RequestId, intake: Option<&Intake>, refusal: Refusal) -> Response<Body> {
-    if let Some(intake) = intake {
-        log::debug!(target: "wisteria", "refusal request={} reason={}", intake.id, refusal.reason);
-    }
+pub fn refuse(id: &RequestId, refusal: Refusal) -> Response<Body> {
     let content = RefusalBody {
         outcome: refusal.outcome,
         reason: refusal.reason,
--- a/crates/wb-entry/src/front/ask.rs
+++ b/crates/wb-entry/src/front/ask.rs
@@ -51,7 +51,7 @@
 pub(super) fn answer(context: &Context, request: &Request<Incoming>) -> Response<Body> {
     match try_answer(context, request) {
         Ok(response) => response,
-        Err(reason) => answer::refuse(&context.next_id(), None, Refusal::not_run(reason)),
+        Err(reason) => answer::refuse(&context.next_id(), Refusal::not_run(reason)),
     }
 }
 
--- a/crates/wb-entry/src/front/mod.rs
+++ b/crates/wb-entry/src/front/mod.rs
@@ -75,14 +75,14 @@
             Ok(intake) => Arc::new(intake),
             Err(refusal) => {
                 let id = context.next_id();
-                return answer::refuse(&id, None, refusal);
+                return answer::refuse(&id, refusal);
             }
         };
         let result = claim::guard(&context, &intake, parts, body).await;
         self.count(&intake, &result);
         match result {
             Ok(response) => answer::mark(response, &intake),
-            Err(refusal) => answer::refuse(&intake.id, Some(&intake), refusal),
+            Err(refusal) => answer::refuse(&intake.id, refusal),
         }
     }
 
--- a/crates/wb-load/src/demo.rs
+++ b/crates/wb-load/src/demo.rs
@@ -16,12 +16,7 @@
 ///
 /// When the fleet does not answer.
 pub async fn run(fleet: &Fleet, serve: bool) -> eyre::Result<()> {
-    let entries: Vec<_> = fleet
-        .roster
-        .instances
-        .iter()
-        .map(|entry| entry.callers)
-        .collect();
+    let entries = fleet.callers();
     println!("{} entry processes are ready:", entries.len());
     for (index, instance) in fleet.roster.instances.iter().enumerate() {
         println!(
--- a/crates/wb-load/src/experiment/run.rs
+++ b/crates/wb-load/src/experiment/run.rs
@@ -48,12 +48,7 @@
         links: false,
     })
     .await?;
-    let entries: Vec<_> = fleet
-        .roster
-        .instances
-        .iter()
-        .map(|entry| entry.callers)
-        .collect();
+    let entries = fleet.callers();
     let shared = Arc::new(plan.clone());
     tokio::time::sleep(SETTLE).await;
     let began = Instant::now();
--- a/crates/wb-load/src/fleet/control.rs
+++ b/crates/wb-load/src/fleet/control.rs
@@ -67,6 +67,12 @@
         Ok(())
     }
 
+    /// Callers' addresses of all instances, as they are listed.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let instances = self.roster.instances.iter();
+        instances.map(|instance| instance.callers).collect()
+    }
+
     /// Number of entry processes, running or not.
     pub fn size(&self) -> usize {
         self.entries.len()
--- a/crates/wb-load/src/lib.rs
+++ b/crates/wb-load/src/lib.rs
@@ -3,12 +3,13 @@
 //! - [`deploy`]: deployment files.
 //! - [`fleet`]: a small fleet of real processes.
 //! - [`caller`]: a caller that asks for addresses, keeps them, and checks every answer.
-//! - [`demo`], [`mixed`], [`soak`], [`edits`]: runs with one purpose each.
+//! - [`demo`], [`mixed`], [`added`], [`soak`], [`edits`]: runs with one purpose each.
 //! - [`alarms`]: wrong ejections and detection on virtual time.
 //! - [`slopes`]: what state, messages and decisions cost, at several sizes.
 //! - [`scenario`]: steps of scripted scenarios on real processes.
 //! - [`experiment`]: runs described by a file, with faults and comparison.
 
+pub mod added;
 pub mod alarms;
 pub mod caller;
 pub mod demo;
--- a/crates/wb-load/src/main.rs
+++ b/crates/wb-load/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use wb_load::added;
 use wb_load::alarms;
 use wb_load::demo;
 use wb_load::edits;
@@ -118,7 +119,7 @@
         WisteriaLoadCmd::Added(run) => {
             let fleet = Fleet::start(options(run.example, "added")).await?;
             let time = Duration::from_secs(run.seconds.unwrap_or(20));
-            mixed::added(&fleet, run.rate.unwrap_or(400.0), time).await?;
+            added::run(&fleet, run.rate.unwrap_or(400.0), time).await?;
             Ok(true)
         }
         WisteriaLoadCmd::Soak(run) => {
--- a/crates/wb-load/src/mixed.rs
+++ b/crates/wb-load/src/mixed.rs
@@ -4,11 +4,9 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
-use hdrhistogram::Histogram;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -42,13 +40,7 @@
 ///
 /// When the fleet can't be asked.
 pub async fn run(fleet: &Fleet, requests: usize, seed: u64) -> eyre::Result<bool> {
-    let entries: Vec<_> = fleet
-        .roster
-        .instances
-        .iter()
-        .map(|entry| entry.callers)
-        .collect();
-    let caller = Arc::new(Caller::new("key-of-all-services", entries));
+    let caller = Arc::new(Caller::new("key-of-all-services", fleet.callers()));
     let counts = Arc::new(Mutex::new(Counts::default()));
     let next = Arc::new(AtomicUsize::new(0));
     let block = Bytes::from(random_block(seed));
@@ -131,72 +123,3 @@
     ask.answer = rng.random_range(64..200_000);
     caller.send(&ask).await
 }
-
-/// Latency through the fleet and straight to the backend servers, in the same run, at a load.
-///
-/// # Errors
-///
-/// When no request succeeds.
-pub async fn added(fleet: &Fleet, rate: f64, time: Duration) -> eyre::Result<()> {
-    let entries: Vec<_> = fleet
-        .roster
-        .instances
-        .iter()
-        .map(|entry| entry.callers)
-        .collect();
-    let caller = Arc::new(Caller::new("key-of-all-services", entries));
-    let servers: Vec<_> = fleet
-        .roster
-        .servers
-        .iter()
-        .filter(|server| &*server.service == "registry")
-        .map(|server| server.address)
-        .collect();
-    let through = Arc::new(Mutex::new(Histogram::<u64>::new(3)?));
-    let straight = Arc::new(Mutex::new(Histogram::<u64>::new(3)?));
-    let count = (rate * time.as_secs_f64()) as usize;
-    let began = Instant::now();
-    let mut tasks = Vec::new();
-    for index in 0..count {
-        let due = began + Duration::from_secs_f64(index as f64 / rate);
-        tokio::time::sleep_until(due.into()).await;
-        let ask = Ask::lookup("registry", &format!("/stock/{index}"), 2.0);
-        let caller = caller.clone();
-        let direct = index % 2 == 1;
-        let address = servers[(index / 2) % servers.len()];
-        let histogram = if direct {
-            straight.clone()
-        } else {
-            through.clone()
-        };
-        tasks.push(tokio::spawn(async move {
-            let fate = if direct {
-                caller.send_to(address, &ask).await
-            } else {
-                caller.send(&ask).await
-            };
-            if fate == Fate::Good {
-                let took = due.elapsed().as_micros() as u64;
-                let _ = histogram.lock().expect("no holder panics").record(took);
-            }
-        }));
-    }
-    futures::future::join_all(tasks).await;
-    let through = through.lock().expect("no holder panics");
-    let straight = straight.lock().expect("no holder panics");
-    for quantile in [0.5, 0.9, 0.99] {
-        let a = through.value_at_quantile(quantile);
-        let b = straight.value_at_quantile(quantile);
-        println!(
-            "p{:<4} through {a:>6} us  straight {b:>6} us  added {:>6} us",
-            quantile * 100.0,
-            a as i64 - b as i64
-        );
-    }
-    println!(
-        "requests through {} straight {}",
-        through.len(),
-        straight.len()
-    );
-    Ok(())
-}
--- a/crates/wb-load/src/scenario/work.rs
+++ b/crates/wb-load/src/scenario/work.rs
@@ -24,8 +24,7 @@
 
 impl Scenario {
     pub(super) fn caller(&mut self) -> eyre::Result<Arc<Caller>> {
-        let instances = self.fleet()?.roster.instances.clone();
-        let entries = instances.iter().map(|entry| entry.callers).collect();
+        let entries = self.fleet()?.callers();
         Ok(Arc::new(Caller::new("key-of-all-services", entries)))
     }
 
--- a/crates/wb-load/src/slopes/daemon.rs
+++ b/crates/wb-load/src/slopes/daemon.rs
@@ -108,9 +108,7 @@
 }
 
 async fn load(fleet: &Fleet, rate: f64) {
-    let instances = fleet.roster.instances.iter();
-    let entries = instances.map(|entry| entry.callers).collect();
-    let caller = Arc::new(Caller::new("key-of-all-services", entries));
+    let caller = Arc::new(Caller::new("key-of-all-services", fleet.callers()));
     let began = Instant::now();
     let mut tasks = Vec::new();
     let count = (rate * TIME.as_secs_f64()) as usize;
--- a/crates/wb-load/src/soak.rs
+++ b/crates/wb-load/src/soak.rs
@@ -55,12 +55,7 @@
 ///
 /// When the fleet can't be controlled.
 pub async fn run(fleet: &mut Fleet, orders: usize, seed: u64) -> eyre::Result<bool> {
-    let entries: Vec<_> = fleet
-        .roster
-        .instances
-        .iter()
-        .map(|entry| entry.callers)
-        .collect();
+    let entries = fleet.callers();
     let ended = Arc::new(AtomicBool::new(false));
     let results: Arc<Mutex<Vec<Order>>> = Arc::default();
     let next = Arc::new(AtomicUsize::new(0));
--- a/crates/wb-members/tests/place.rs
+++ b/crates/wb-members/tests/place.rs
@@ -57,7 +57,7 @@
     let after = owners(&servers(20), &homes("registry", &rest, 2));
     for old in &before {
         let index: usize = old.server[1..].parse().expect("names are numbered");
-        if index % 3 != 0 {
+        if !index.is_multiple_of(3) {
             assert!(after.contains(old), "{old:?}");
         }
     }
