--- a/crates/wb-load/src/scenario/mod.rs
+++ b/crates/wb-load/src/scenario/mod.rs
@@ -9,7 +9,7 @@
 //! | `lookups count=N [tries=N]` | lookups, each tried again by the caller if it is refused |
 //! | `orders count=N` | orders under tickets, some sent twice |
 //! | `uploads count=N ms=N` | uploads that stay in progress while later steps run |
-//! | `join` | waits for those uploads |
+//! | `join [lost]` | waits for those uploads; `lost` counts those without answer or refusal |
 //! | `kill`, `stop`, `cont`, `start`, `leave`, `roll entry=N` | what happens to an entry process |
 //! | `link to=peers\|callers entry=N`, `to=server service=S server=N`, `to=platform`, `state=S` | changes a link |
 //! | `platform [outage] [lost=N] [lag=MS] [stale]` | the platform's faults; none if not named |
--- a/crates/wb-load/src/scenario/step.rs
+++ b/crates/wb-load/src/scenario/step.rs
@@ -39,7 +39,7 @@
             "lookups" => self.lookups(arguments).await,
             "orders" => self.send_orders(arguments).await,
             "uploads" => self.begin_uploads(arguments).await,
-            "join" => self.join_uploads().await,
+            "join" => self.join_uploads(arguments).await,
             "kill" | "stop" | "cont" | "start" | "leave" | "roll" => {
                 self.process(name, arguments).await
             }
--- a/crates/wb-load/src/scenario/work.rs
+++ b/crates/wb-load/src/scenario/work.rs
@@ -20,7 +20,7 @@
 /// Longest wait of a caller for an answer.
 const PATIENCE: Duration = Duration::from_millis(1500);
 /// Size of an upload, in bytes.
-const UPLOAD: usize = 512 * 1024;
+const UPLOAD: usize = 2 * 1024 * 1024;
 
 impl Scenario {
     pub(super) fn caller(&mut self) -> eyre::Result<Arc<Caller>> {
@@ -130,7 +130,7 @@
     }
 
     /// Waits for the uploads.
-    pub(super) async fn join_uploads(&mut self) -> eyre::Result<String> {
+    pub(super) async fn join_uploads(&mut self, arguments: &Arguments) -> eyre::Result<String> {
         let mut good = 0;
         let mut others = Vec::new();
         for upload in self.uploads.drain(..) {
@@ -139,6 +139,10 @@
                 other => others.push(format!("{other:?}")),
             }
         }
+        if arguments.has("lost") {
+            let lost = others.iter().filter(|fate| !fate.contains("NotRun"));
+            return Ok(format!("lost {}", lost.count()));
+        }
         Ok(format!("good {good} others {others:?}"))
     }
 }
--- a/crates/wb-load/tests/processes.rs
+++ b/crates/wb-load/tests/processes.rs
@@ -58,6 +58,7 @@
     long_upload: "long-upload.txt",
     leaving_server: "leaving.txt",
     one_way_link: "one-way.txt",
+    queued_upload: "queued-upload.txt",
     table_edits: "table.txt",
     whole_answer: "whole-answer.txt",
 }
