refactor: the other servers, and an open home, are named once

The filter of the other servers in rotation stood twice in the judgement, the test of a home with free slots that was heard of late twice in the dispatcher and a part of it a third time; each is one method now. A piece of evidence no longer copies the options twice.

--- a/crates/wb-dispatch/src/dispatch/decide.rs
+++ b/crates/wb-dispatch/src/dispatch/decide.rs
@@ -119,7 +119,7 @@
 
     fn pass_waiting(&mut self, length: Length, now: Moment) {
         while self.queues.waiting(length) > 0 {
-            if !self.other_is_free(now) {
+            if !self.homes.iter().any(|home| home.is_open(now)) {
                 return;
             }
             let Some(next) = self.queues.pop(length, now) else {
@@ -140,10 +140,4 @@
             }
         }
     }
-
-    fn other_is_free(&self, now: Moment) -> bool {
-        let fresh = |heard: Option<Moment>| heard.is_some_and(|at| now - at < super::SILENCE);
-        let mut homes = self.homes.iter();
-        homes.any(|home| home.free > 0 && home.avoid <= now && fresh(home.heard))
-    }
 }
--- a/crates/wb-dispatch/src/dispatch/homes.rs
+++ b/crates/wb-dispatch/src/dispatch/homes.rs
@@ -10,6 +10,7 @@
 use wb_types::work::Length;
 
 use super::Dispatch;
+use super::Home;
 use super::SILENCE;
 use super::Stage;
 use super::Told;
@@ -26,6 +27,18 @@
 /// Relative change that is told at once.
 const DIFFERENCE: f32 = 0.1;
 
+impl Home {
+    /// Whether the home was heard of late.
+    fn is_fresh(&self, now: Moment) -> bool {
+        self.heard.is_some_and(|at| now - at < SILENCE)
+    }
+
+    /// Whether the home has a free slot, as far as is known, and can be reached.
+    pub(super) fn is_open(&self, now: Moment) -> bool {
+        self.free > 0 && self.avoid <= now && self.is_fresh(now)
+    }
+}
+
 impl Dispatch {
     pub(super) fn take_load(&mut self, load: &HomeLoad, now: Moment) {
         let home = self.homes.iter_mut().find(|home| home.name == load.home);
@@ -45,11 +58,7 @@
 
     /// Another home with a free slot, as far as is known.
     pub(super) fn free_home(&mut self, now: Moment) -> Option<(InstanceName, Account)> {
-        let fresh = |heard: Option<Moment>| heard.is_some_and(|at| now - at < SILENCE);
-        let open = self
-            .homes
-            .iter()
-            .filter(|home| home.free > 0 && home.avoid <= now && fresh(home.heard));
+        let open = self.homes.iter().filter(|home| home.is_open(now));
         let candidates: Vec<Candidate> = open
             .map(|home| Candidate {
                 name: home.name.clone(),
@@ -153,11 +162,11 @@
     apart(load.demand, told.demand) || apart(load.share, told.share)
 }
 
-fn others_of(homes: &[super::Home], row: &RowKey, count: usize, now: Moment) -> Vec<limit::Other> {
+fn others_of(homes: &[Home], row: &RowKey, count: usize, now: Moment) -> Vec<limit::Other> {
     let even = 1.0 / count as f64;
-    let view = |home: &super::Home| {
+    let view = |home: &Home| {
         let load = home.rows.iter().find(|load| load.row == *row);
-        let heard = home.heard.is_some_and(|at| now - at < SILENCE);
+        let heard = home.is_fresh(now);
         limit::Other {
             demand: load.map_or(0.0, |load| f64::from(load.demand)),
             share: load.map_or(even, |load| f64::from(load.share)),
--- a/crates/wb-health/src/ward/judge.rs
+++ b/crates/wb-health/src/ward/judge.rs
@@ -11,6 +11,7 @@
 use super::Ward;
 use crate::floor;
 use crate::score::Evidence;
+use crate::score::Score;
 
 /// Other servers with evidence that are needed to tell what is usual.
 const OTHERS_MIN: usize = 2;
@@ -38,9 +39,8 @@
             self.baseline.add(took);
         }
         let usual = self.usual(key, now);
-        let options = self.options.clone();
         let server = self.servers.get_mut(key)?;
-        server.score.add(bad, usual, &options, now);
+        server.score.add(bad, usual, &self.options, now);
         match server.machine.state() {
             "trial" => self.judge_trial(key, bad, now),
             "healthy" | "suspect" => self.judge(key, now),
@@ -79,14 +79,18 @@
         }
     }
 
+    /// Scores of the other servers in rotation.
+    fn others(&self, key: ServerKey) -> impl Iterator<Item = &Score> {
+        let others = self.servers.iter().filter(move |(other, _)| *other != key);
+        others
+            .filter(|(_, server)| server.in_rotation())
+            .map(|(_, server)| &server.score)
+    }
+
     /// Whether the others are in doubt too: then the fault is one that they share, and what is
     /// usual is about to change.
     fn shared(&self, key: ServerKey) -> bool {
-        let others = self
-            .servers
-            .iter()
-            .filter(|(other, server)| *other != key && server.in_rotation());
-        let mut scores: Vec<f64> = others.map(|(_, server)| server.score.value()).collect();
+        let mut scores: Vec<f64> = self.others(key).map(Score::value).collect();
         if scores.len() < OTHERS_MIN {
             return false;
         }
@@ -96,13 +100,8 @@
 
     /// Share of bad work at the others together, taken for higher while they have shown little.
     fn mean(&self, key: ServerKey) -> f64 {
-        let others = self
-            .servers
-            .iter()
-            .filter(|(other, server)| *other != key && server.in_rotation());
         let mut sum = Evidence::default();
-        for (_, server) in others {
-            let evidence = server.score.evidence();
+        for evidence in self.others(key).map(Score::evidence) {
             sum.bad += evidence.bad;
             sum.total += evidence.total;
         }
@@ -137,12 +136,12 @@
             }
             self.servers.get_mut(key)?.score.clear();
         }
-        let options = self.options.clone();
+        let doubt = self.options.doubt;
         let server = self.servers.get_mut(key)?;
-        if score >= options.doubt {
+        if score >= doubt {
             return step(server, "doubt", now);
         }
-        if score < options.doubt / 2.0 {
+        if score < doubt / 2.0 {
             server.held = false;
             return step(server, "clear", now);
         }
