--- /dev/null
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -0,0 +1,96 @@
+//! What is known of the service.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use wb_types::id::Moment;
+use wb_types::id::ServerName;
+use wb_types::roster::Stay;
+
+use super::Balancer;
+use super::Entry;
+use crate::RetryBudget;
+
+impl Entry {
+    /// Requests running there, of all instances as far as known.
+    pub(super) fn load(&self) -> u32 {
+        self.running + self.others.values().sum::<u32>()
+    }
+
+    /// Whether it may get work at all.
+    pub(super) fn is_usable(&self) -> bool {
+        self.server.stay == Stay::Live && !self.misplaced
+    }
+}
+
+impl Balancer {
+    /// Own requests running at each server that has any.
+    pub fn running(&self) -> HashMap<ServerName, u32> {
+        let busy = self.servers.values().filter(|entry| entry.running > 0);
+        busy.map(|entry| (entry.server.name.clone(), entry.running))
+            .collect()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Servers that may get work.
+    pub fn usable(&self) -> usize {
+        self.servers
+            .values()
+            .filter(|entry| entry.is_usable())
+            .count()
+    }
+
+    /// Servers that get trials only.
+    pub fn suspects(&self) -> usize {
+        self.servers
+            .values()
+            .filter(|entry| entry.is_usable() && entry.trust.is_suspect())
+            .count()
+    }
+
+    /// Bound on further sends.
+    pub fn budget(&mut self) -> &mut RetryBudget {
+        &mut self.budget
+    }
+
+    /// Usual duration of a request of a route.
+    pub fn usual(&self, route: &str) -> Duration {
+        let seconds = self.usual.get(route).copied().unwrap_or(self.mean);
+        Duration::from_secs_f64(seconds)
+    }
+
+    /// Slots of the servers that are not suspect, or of all if all are.
+    pub(super) fn sound_slots(&self) -> u32 {
+        let usable = || self.servers.values().filter(|entry| entry.is_usable());
+        let sound: u32 = usable()
+            .filter(|entry| !entry.trust.is_suspect())
+            .map(|entry| entry.server.slots)
+            .sum();
+        if sound > 0 {
+            return sound;
+        }
+        usable().map(|entry| entry.server.slots).sum()
+    }
+
+    /// Time until work that comes now has a slot, as long as sound servers are what they are.
+    pub(super) fn wait(&self, ahead: usize) -> Duration {
+        let slots = f64::from(self.sound_slots()) * self.part;
+        if slots <= 0.0 {
+            return Duration::MAX;
+        }
+        Duration::from_secs_f64(ahead as f64 * self.mean / slots)
+    }
+
+    /// When the next trial of a suspect is due.
+    pub fn next_trial(&self) -> Option<Moment> {
+        let suspects = self.servers.values();
+        suspects
+            .filter(|entry| entry.trust.is_suspect())
+            .map(|entry| entry.trust.trial())
+            .min()
+    }
+}
--- /dev/null
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -0,0 +1,113 @@
+//! What sends told of their servers.
+
+use std::time::Duration;
+
+use wb_types::id::Moment;
+use wb_types::id::ServerName;
+
+use super::Balancer;
+use super::Change;
+use super::Ending;
+use super::Entry;
+use super::ServerKey;
+use crate::Evidence;
+
+/// Weight of the newest duration of a route.
+const ROUTE_GAIN: f64 = 0.05;
+/// Weight of the newest duration at a server.
+const PACE_GAIN: f64 = 0.2;
+/// Bounds on one duration against the usual, so that a straggler does not mark its server.
+const PACE_MAX: f64 = 4.0;
+/// Weight of the newest send in the share that a server sheds.
+const SHED_GAIN: f64 = 0.2;
+/// Time without new work for a server that just shed.
+const SHED_REST: Duration = Duration::from_millis(60);
+
+impl Balancer {
+    /// Ends a send of a request of a route.
+    pub fn finish(
+        &mut self,
+        key: ServerKey,
+        route: &str,
+        ending: Ending,
+        now: Moment,
+    ) -> Option<Change> {
+        if let Ending::Good(duration) = ending {
+            self.learn(key, route, duration);
+        }
+        let entry = self.servers.get_mut(key)?;
+        entry.running = entry.running.saturating_sub(1);
+        entry.trust.set_trying(false);
+        match ending {
+            Ending::Good(_) => {
+                entry.shed *= 1.0 - SHED_GAIN;
+                entry.note(Evidence::Good, now)
+            }
+            Ending::Bad(evidence) => entry.note(evidence, now),
+            Ending::Shed => {
+                entry.shed += (1.0 - entry.shed) * SHED_GAIN;
+                entry.rest = now + SHED_REST;
+                None
+            }
+            Ending::Misdirected => {
+                entry.misplaced = true;
+                None
+            }
+            Ending::Void => None,
+        }
+    }
+
+    /// Takes evidence from a request that is still running.
+    pub fn note(&mut self, key: ServerKey, evidence: Evidence, now: Moment) -> Option<Change> {
+        self.servers.get_mut(key)?.note(evidence, now)
+    }
+
+    /// Takes evidence from another instance.
+    pub fn hear(&mut self, server: &ServerName, evidence: Evidence, now: Moment) -> Option<Change> {
+        let key = *self.names.get(server)?;
+        let entry = self.servers.get_mut(key)?;
+        let turned = entry.trust.hear(evidence, now);
+        turned.then(|| entry.change(evidence, turned))
+    }
+
+    fn learn(&mut self, key: ServerKey, route: &str, duration: Duration) {
+        let seconds = duration.as_secs_f64();
+        self.mean += (seconds - self.mean) * ROUTE_GAIN;
+        let usual = match self.usual.get_mut(route) {
+            Some(usual) => usual,
+            None => {
+                self.usual.insert(route.into(), seconds);
+                return;
+            }
+        };
+        let against = (seconds / *usual).min(PACE_MAX);
+        *usual += (seconds - *usual) * ROUTE_GAIN;
+        if let Some(entry) = self.servers.get_mut(key) {
+            entry.pace += (against - entry.pace) * PACE_GAIN;
+        }
+    }
+}
+
+impl Entry {
+    fn note(&mut self, evidence: Evidence, now: Moment) -> Option<Change> {
+        let was = self.trust.is_suspect();
+        let turned = self.trust.add(evidence, now);
+        let good = evidence == Evidence::Good;
+        let told = if was && !good {
+            Evidence::TrialFailed
+        } else {
+            evidence
+        };
+        (was || turned || !good).then(|| self.change(told, turned))
+    }
+
+    fn change(&self, evidence: Evidence, turned: bool) -> Change {
+        Change {
+            server: self.server.name.clone(),
+            evidence,
+            suspect: self.trust.is_suspect(),
+            turned,
+            score: self.trust.score(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -0,0 +1,88 @@
+//! Requests that come.
+
+use std::time::Duration;
+
+use wb_types::id::Moment;
+
+use super::Ask;
+use super::Balancer;
+use super::Cause;
+use super::Offer;
+use super::Refusal;
+use super::Waiter;
+
+/// Part of the retry allowance that is kept for work that must not repeat and for higher ranks:
+/// shed work of theirs has no other way to be served.
+const KEEP: f64 = 0.3;
+/// Shortest time until a refused request may come back.
+const AFTER_MIN: Duration = Duration::from_millis(200);
+/// Longest time until a refused request may come back.
+const AFTER_MAX: Duration = Duration::from_secs(5);
+
+impl Balancer {
+    /// Decides on a request that came from a caller.
+    pub fn offer(&mut self, ask: Ask, now: Moment) -> Offer {
+        self.budget.earn(now);
+        self.decide(ask, now)
+    }
+
+    /// Decides on a request that a server has shed, or that may run again.
+    pub fn again(&mut self, ask: Ask, now: Moment) -> Offer {
+        let keep = if ask.idempotent { KEEP } else { 0.0 };
+        if !self.budget.spend(keep, now) {
+            return Self::refuse(Cause::RetryBudget, AFTER_MIN);
+        }
+        self.decide(ask, now)
+    }
+
+    /// Decides on a request of which no byte was handed over to the server that it was given to.
+    pub fn elsewhere(&mut self, ask: Ask, now: Moment) -> Offer {
+        self.decide(ask, now)
+    }
+
+    fn decide(&mut self, ask: Ask, now: Moment) -> Offer {
+        let left = self
+            .servers
+            .iter()
+            .any(|(key, entry)| entry.is_usable() && !ask.tried.contains(&key));
+        if !left {
+            return Self::refuse(Cause::NoServer, AFTER_MIN);
+        }
+        let ahead = self.ahead(&ask);
+        if ahead == 0
+            && let Some(key) = self.pick(&ask, self.is_desperate(&ask, now, now), now)
+        {
+            return Offer::Go(self.grant(key, now));
+        }
+        let wait = self.wait(ahead + 1);
+        let usual = self.usual(&ask.route);
+        let room = ask.deadline.saturating_sub(now);
+        if self.waiting.len() >= self.options.queue || wait.saturating_add(usual) > room {
+            let after = wait.saturating_add(usual).saturating_sub(room);
+            return Self::refuse(Cause::NoRoom, after);
+        }
+        Offer::Wait(self.waiting.insert(Waiter { ask, since: now }))
+    }
+
+    pub(super) fn refuse(cause: Cause, after: Duration) -> Offer {
+        Offer::Refuse(Refusal {
+            cause,
+            after: after.clamp(AFTER_MIN, AFTER_MAX),
+        })
+    }
+
+    /// Waiting requests of the same or a higher rank.
+    fn ahead(&self, ask: &Ask) -> usize {
+        let waiting = self.waiting.values();
+        waiting
+            .filter(|waiter| waiter.ask.priority <= ask.priority)
+            .count()
+    }
+
+    /// Whether a request may go to a suspect: no server is sound, or it has waited for long.
+    pub(super) fn is_desperate(&self, ask: &Ask, since: Moment, now: Moment) -> bool {
+        let patience = ask.objective.mul_f64(self.options.patience);
+        let sound = |entry: &super::Entry| entry.is_usable() && !entry.trust.is_suspect();
+        now.saturating_sub(since) >= patience || !self.servers.values().any(sound)
+    }
+}
--- /dev/null
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -0,0 +1,104 @@
+//! Choice of a server.
+
+use rand::Rng;
+use wb_types::id::Moment;
+
+use super::Ask;
+use super::Balancer;
+use super::Entry;
+use super::Grant;
+use super::ServerKey;
+
+/// Usual durations that must be left for a trial, so that the request can be sent again.
+const TRIAL_ROOM: u32 = 3;
+/// Share of slots above which a server counts as nearly full.
+const NEARLY_FULL: f64 = 0.5;
+/// Extra cost of a full server against a half empty one, in service times.
+const FULL_COST: f64 = 1.2;
+/// How much slower than usual a cold server is taken to be.
+const COLD: f64 = 2.0;
+/// Bound of the random part of the cost, so that instances don't all choose the same server, in
+/// service times.
+const JITTER: f64 = 0.1;
+
+impl Balancer {
+    /// A server for a request, if one is free. `desperate` lets it go to a suspect.
+    pub(super) fn pick(&self, ask: &Ask, desperate: bool, now: Moment) -> Option<ServerKey> {
+        if let Some(key) = self.due(ask, now) {
+            return Some(key);
+        }
+        let sound = self.cheapest(ask, now, |entry| !entry.trust.is_suspect());
+        if sound.is_some() || !desperate {
+            return sound;
+        }
+        self.cheapest(ask, now, |entry| entry.trust.is_suspect())
+    }
+
+    /// The suspect whose trial is due longest, if the request may run again and has time for it.
+    fn due(&self, ask: &Ask, now: Moment) -> Option<ServerKey> {
+        let room = self.usual(&ask.route) * TRIAL_ROOM;
+        if !ask.idempotent || !ask.tried.is_empty() || now + room > ask.deadline {
+            return None;
+        }
+        self.servers
+            .iter()
+            .filter(|(_, entry)| entry.is_usable() && entry.trust.is_due(now))
+            .min_by_key(|(_, entry)| entry.trust.trial())
+            .map(|(key, _)| key)
+    }
+
+    fn cheapest(&self, ask: &Ask, now: Moment, fits: impl Fn(&Entry) -> bool) -> Option<ServerKey> {
+        let mut best: Option<(f64, ServerKey)> = None;
+        for (key, entry) in &self.servers {
+            let free = entry.is_usable() && entry.load() < entry.server.slots;
+            if !free || now < entry.rest || !fits(entry) || ask.tried.contains(&key) {
+                continue;
+            }
+            let explore = ask.idempotent && ask.tried.is_empty();
+            let cost = self.cost(entry, explore, now);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Cost of a server. `explore` draws the request to servers that were not heard of for long:
+    /// it can be sent again, and finds out about them.
+    fn cost(&self, entry: &Entry, explore: bool, now: Moment) -> f64 {
+        let options = &self.options;
+        let full = f64::from(entry.load()) / f64::from(entry.server.slots.max(1));
+        let mut cost = entry.pace + entry.trust.score() + entry.shed * options.shedding;
+        cost += (full - NEARLY_FULL).max(0.0) / (1.0 - NEARLY_FULL) * FULL_COST;
+        if now < entry.cold {
+            cost += COLD - 1.0;
+        }
+        if *entry.server.domain != *options.domain {
+            cost += options.distance;
+        }
+        let age = entry.trust.age(now);
+        let stale = age.map_or(options.stale_max, |age| {
+            (age.as_secs_f64() * options.staleness).min(options.stale_max)
+        });
+        cost += if explore { -stale } else { stale };
+        cost + rand::rng().random_range(0.0..JITTER)
+    }
+
+    /// Takes a slot.
+    pub(super) fn grant(&mut self, key: ServerKey, now: Moment) -> Box<Grant> {
+        let entry = &mut self.servers[key];
+        entry.running += 1;
+        let trial = entry.trust.is_suspect();
+        if trial {
+            entry.trust.set_trying(true);
+        }
+        Box::new(Grant {
+            key,
+            server: entry.server.clone(),
+            trial,
+            running: entry.load(),
+            age: entry.trust.age(now),
+            score: entry.trust.score(),
+        })
+    }
+}
--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -7,7 +7,7 @@
 /// An event, numbered for operators.
 ///
 /// The hundreds group the events: 1xx process, 2xx routing, 3xx health, 4xx membership and
-/// placement, 5xx policy table, 6xx tickets, 7xx records, 8xx listeners.
+/// placement, 5xx policy table and routes, 6xx tickets, 7xx records, 8xx listeners, 9xx the log.
 #[derive(Clone, Copy, Debug, Display, EnumIter, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 #[repr(u16)]
@@ -22,6 +22,8 @@
     Stopped = 104,
     /// A second signal cut the work in progress.
     Cut = 105,
+    /// The settings were read again.
+    Reloaded = 106,
     /// A request was given to a backend server.
     Routed = 201,
     /// A request was passed to another home.
@@ -32,18 +34,40 @@
     Answered = 204,
     /// A request is tried again.
     Retried = 205,
+    /// A caller asked which addresses to use.
+    Resolved = 206,
+    /// A request waits for a slot.
+    Queued = 207,
+    /// An attempt at a backend server ended without a whole answer.
+    AttemptFailed = 208,
+    /// A request ended with a failure that says nothing about whether it ran.
+    Failed = 209,
+    /// The caller went away before the answer.
+    CallerGone = 210,
     /// The state of a backend server's health chart changed.
     Health = 301,
     /// A backend server was kept because of the floor.
     FloorHeld = 302,
     /// A backend server is leaving.
     ServerLeaving = 303,
+    /// The list of backend servers changed.
+    RosterChanged = 304,
+    /// A backend server's entry lapsed while the platform was impaired; the server is kept.
+    Lapsed = 305,
+    /// A row of the platform can't be read.
+    RowUnreadable = 306,
     /// A member's liveness changed.
     Member = 401,
     /// The homes and owners of a service changed.
     Placement = 402,
     /// No other instance is heard.
     Isolated = 403,
+    /// The instance has joined the fleet.
+    Joined = 404,
+    /// A datagram of another instance can't be read.
+    PacketUnreadable = 405,
+    /// A datagram is larger than a packet of the network.
+    PacketTooLarge = 406,
     /// A higher version of the policy table is in force.
     TableApplied = 501,
     /// An edit was decided.
@@ -52,6 +76,8 @@
     PlatformDown = 503,
     /// The platform answers again.
     PlatformUp = 504,
+    /// A version of the routes is in force.
+    RoutesApplied = 505,
     /// A ticket's work was settled.
     TicketSettled = 601,
     /// Tickets were handed to another instance.
@@ -62,6 +88,8 @@
     RecordsStored = 702,
     /// A connection of a caller ended with an error.
     ConnectionError = 801,
+    /// Lines were dropped, since the reader of the output is slow.
+    LinesDropped = 901,
 }
 
 impl Event {
@@ -70,6 +98,15 @@
         self as u16
     }
 
+    /// Whether the line tells of a request that went well, so that it goes first when lines have
+    /// to be dropped.
+    pub fn is_routine(self) -> bool {
+        matches!(
+            self,
+            Self::Routed | Self::Answered | Self::Resolved | Self::Queued | Self::ConnectionError
+        )
+    }
+
     /// Level at which the event is logged.
     pub fn level(self) -> Level {
         match self {
--- a/crates/wb-event/src/lib.rs
+++ b/crates/wb-event/src/lib.rs
@@ -4,6 +4,7 @@
 //! `docs/EVENTS.md` explains each number.
 
 mod event;
+pub mod line;
 
 pub use event::Event;
 
--- /dev/null
+++ b/crates/wb-gateway/src/directory.rs
@@ -0,0 +1,92 @@
+//! Which addresses callers should use, and whether the instance is ready.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use wb_event::Event;
+use wb_event::line;
+use wb_http::Body;
+use wb_http::body;
+use wb_http::serve::Handler;
+
+use crate::Context;
+
+/// Time for which callers keep an answer: long enough that asking costs little, short enough that
+/// they follow when a home fails.
+const KEEP: Duration = Duration::from_secs(2);
+
+/// Answers the platform and callers.
+pub struct Directory(pub Arc<Context>);
+
+impl Directory {
+    fn answer(&self, request: &Request<Incoming>) -> Response<Body> {
+        let context = &self.0;
+        if context.calls.is_ready(request.uri()) {
+            return self.ready();
+        }
+        let Some(question) = context.calls.question(request.uri()) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let state = context.state();
+        let addresses = state.steering.addresses();
+        let keep = KEEP.min(context.settings.bounds.keep);
+        line!(
+            Event::Resolved,
+            host = question.host,
+            domain = question.domain,
+            addresses = addresses
+        );
+        let mut response = Response::new(body::full(context.calls.addresses(&addresses, keep)));
+        let json = http::HeaderValue::from_static("application/json");
+        response.headers_mut().insert("content-type", json);
+        response
+    }
+
+    fn ready(&self) -> Response<Body> {
+        let state = self.0.state();
+        let known = state.routes.is_some() && state.listing.mark().is_some();
+        if known && !self.0.is_leaving() {
+            status(StatusCode::OK)
+        } else {
+            status(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+impl Handler for Directory {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        let response = self.answer(&request);
+        async move { response }.boxed()
+    }
+}
+
+/// Serves the metrics.
+pub struct Figures(pub Arc<Context>);
+
+impl Handler for Figures {
+    fn handle(
+        self: Arc<Self>,
+        _request: Request<Incoming>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        let text = self.0.metrics.text();
+        async move { Response::new(body::full(text)) }.boxed()
+    }
+}
--- /dev/null
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -0,0 +1,123 @@
+//! Routes as the platform has them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use wb_event::Event;
+use wb_event::line;
+use wb_route::RouteTable;
+
+use super::Backoff;
+use super::Watch;
+use super::report;
+use crate::Context;
+use crate::peers::whole;
+use crate::port::Error;
+use crate::port::Routes;
+
+/// Longest time that the platform holds a question for newer routes.
+const WAIT: Duration = Duration::from_secs(25);
+/// Pause after newer routes, so that edits in quick succession are read together; a small part of
+/// the time in which they must be in force.
+const GATHER: Duration = Duration::from_millis(250);
+
+/// Follows the routes until the daemon ends.
+pub async fn run(context: Arc<Context>) {
+    let mut watch = Watch::new("routes");
+    let mut backoff = Backoff::new();
+    loop {
+        let result = ask(&context).await;
+        watch.note(&context, &result);
+        match result {
+            Ok(routes) => {
+                backoff.reset();
+                if take(&context, routes, "platform") {
+                    tokio::time::sleep(GATHER).await;
+                }
+            }
+            Err(Error::Forgotten) => context.state().route_mark = 0,
+            Err(_) => {
+                ask_peers(&context).await;
+                backoff.wait().await;
+            }
+        }
+    }
+}
+
+/// Asks for newer routes; at once for the newest if none are known or another instance has some.
+async fn ask(context: &Context) -> Result<Routes, Error> {
+    let mark = context.state().route_mark;
+    if mark == 0 {
+        return context.catalog.routes().await;
+    }
+    tokio::select! {
+        result = context.catalog.next_routes(mark, WAIT) => result,
+        () = context.routes_due.notified() => context.catalog.routes().await,
+    }
+}
+
+/// Takes routes if they are newer than those in force. Returns whether they are.
+pub fn take(context: &Context, routes: Routes, source: &'static str) -> bool {
+    report(&routes.findings);
+    let now = context.now();
+    let mut state = context.state();
+    state.route_mark = state.route_mark.max(routes.mark);
+    state.routes_seen = now;
+    let Some(table) = routes.table else {
+        return false;
+    };
+    apply(context, &mut state, table, source)
+}
+
+fn apply(
+    context: &Context,
+    state: &mut crate::context::State,
+    table: RouteTable,
+    source: &'static str,
+) -> bool {
+    let now = context.now();
+    let before = state.routes.as_ref().map(|routes| routes.version);
+    if before.is_some_and(|before| table.version <= before) {
+        return false;
+    }
+    line!(
+        Event::RoutesApplied,
+        version = table.version,
+        before = before,
+        routes = table.len(),
+        source = source
+    );
+    context.metrics.routes.set(table.version as i64);
+    let first = state.routes.is_none();
+    state.routes = Some(Arc::new(table));
+    if first {
+        line!(Event::Ready, servers = state.listing.entries().len());
+    }
+    state.spread(context, now);
+    true
+}
+
+/// Takes what a home knows, while the platform does not answer.
+async fn ask_peers(context: &Context) {
+    let mut addresses = context.state().steering.other_homes();
+    addresses.extend(&context.settings.seeds);
+    for address in addresses.into_iter().take(2) {
+        let Ok(whole) = whole::fetch(context, address).await else {
+            continue;
+        };
+        let now = context.now();
+        let mut state = context.state();
+        for card in whole.cards {
+            state.steering.learn(card, now);
+        }
+        if let Some(table) = whole.routes {
+            apply(context, &mut state, table, "peer");
+        }
+        let behind = whole.listing > state.listing.mark();
+        if let Some(mark) = whole.listing.filter(|_| behind) {
+            let changed = state.listing.replace(mark, whole.entries, now);
+            super::servers::changed(context, &mut state, &changed, "peer");
+        }
+        return;
+    }
+}
--- /dev/null
+++ b/crates/wb-gateway/src/front/attempt.rs
@@ -0,0 +1,297 @@
+//! One send to one server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use wb_balance::Ending;
+use wb_balance::Evidence;
+use wb_http::Body;
+use wb_http::SendError;
+use wb_http::body;
+use wb_http::pool::Reply;
+use wb_http::pool::Terms;
+
+use super::intake::Intake;
+use super::intake::text;
+use super::slot::Slot;
+use crate::Context;
+
+/// Connections to backend servers: a new one takes some milliseconds, so half a second without one
+/// is a lost packet or a server that is gone; idle ones close well before the servers' usual ten
+/// seconds.
+pub const POOL: wb_http::pool::Options = wb_http::pool::Options {
+    connect: Duration::from_millis(500),
+    idle: Duration::from_secs(8),
+    silence: Duration::from_secs(5),
+};
+/// Answers up to this size are held until they are whole, in bytes, so that one that breaks off
+/// can be asked for again. Some hundred of them fit into a small instance.
+const HOLD_MAX: u64 = 256 * 1024;
+
+/// How a send ended.
+pub enum Outcome {
+    /// A whole answer of the server, or one that is whole so far and goes on.
+    Answer(Response<Body>),
+    /// The server answered that it failed; it has run the request.
+    Failed(Response<Body>),
+    /// The request was not run.
+    Unrun {
+        /// Why.
+        reason: &'static str,
+        /// Whether the server itself was reached.
+        sent: bool,
+        /// The body, if it was not handed over.
+        body: Option<Body>,
+    },
+    /// The request may have run, and there is no answer.
+    Lost {
+        /// Why.
+        reason: &'static str,
+        /// The error.
+        error: String,
+    },
+}
+
+/// Sends a request to the server of a slot.
+pub async fn run(context: Arc<Context>, intake: Arc<Intake>, slot: Slot, body: Body) -> Outcome {
+    let begin = context.now();
+    let left = intake.deadline.saturating_sub(begin);
+    let request = build(&context, &intake, &slot, body, left);
+    let terms = Terms {
+        connections: slot.grant.server.connections,
+        fresh: !intake.route.repeat.is_idempotent(),
+    };
+    let address = slot.grant.server.address;
+    let sending = context.pool.send(address, terms, request);
+    let due = intake.arrived + intake.route.objective;
+    let overdue = due.saturating_sub(begin).max(intake.route.objective / 2);
+    let whole = async {
+        match sending.await {
+            Ok(reply) => Ok(check(&context, &intake, reply).await),
+            Err(err) => Err(err),
+        }
+    };
+    let whole = tokio::time::timeout(left, whole);
+    tokio::pin!(whole);
+    let result = tokio::select! {
+        result = &mut whole => result,
+        () = tokio::time::sleep(overdue) => {
+            slot.note(Evidence::Overdue);
+            whole.await
+        }
+    };
+    match result {
+        Ok(Ok(checked)) => settle(&context, checked, slot, begin),
+        Ok(Err(SendError::Unsent { request, why: _ })) => {
+            slot.end(Ending::Bad(Evidence::Unreachable));
+            Outcome::Unrun {
+                reason: "unreachable",
+                sent: false,
+                body: Some(request.into_body()),
+            }
+        }
+        Ok(Err(SendError::Lost(error))) => {
+            slot.end(Ending::Bad(Evidence::Cut));
+            Outcome::Lost {
+                reason: "cut",
+                error,
+            }
+        }
+        Err(_) => {
+            slot.end(Ending::Void);
+            let error = "no whole answer before the deadline".to_owned();
+            Outcome::Lost {
+                reason: "timeout",
+                error,
+            }
+        }
+    }
+}
+
+fn build(
+    context: &Context,
+    intake: &Intake,
+    slot: &Slot,
+    body: Body,
+    left: Duration,
+) -> Request<Body> {
+    let mut request = Request::new(body);
+    *request.method_mut() = intake.head.method.clone();
+    let path = intake.head.uri.path_and_query();
+    if let Some(path) = path {
+        *request.uri_mut() = http::Uri::from(path.clone());
+    }
+    let mut headers = end_to_end(&intake.head.headers);
+    headers.remove(http::header::EXPECT);
+    let names = &context.headers;
+    headers.insert(&names.deadline, HeaderValue::from(left.as_millis() as u64));
+    if let Ok(name) = HeaderValue::from_str(&slot.grant.server.name) {
+        headers.insert(&names.target, name);
+    }
+    *request.headers_mut() = headers;
+    request
+}
+
+/// What an answer turned out to be.
+enum Checked {
+    Whole(Response<Bytes>),
+    Long(Reply),
+    Shed,
+    Misdirected,
+    Spoilt(String),
+}
+
+/// Checks an answer and reads it whole if it is small.
+async fn check(context: &Context, intake: &Intake, reply: Reply) -> Checked {
+    let names = &context.headers;
+    let status = reply.status();
+    let echoed = text(reply.headers(), &names.request);
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Checked::Misdirected;
+    }
+    if echoed.is_some_and(|echoed| echoed != intake.id) {
+        return Checked::Spoilt("answer to another request".to_owned());
+    }
+    if reply.headers().contains_key(&names.unrun) {
+        return Checked::Shed;
+    }
+    let signed = reply.headers().contains_key(&names.signature);
+    if status.is_success() && (!signed || echoed.is_none()) {
+        return Checked::Spoilt("success without a signature".to_owned());
+    }
+    let size = http_body::Body::size_hint(reply.body());
+    if size.lower() > HOLD_MAX {
+        return Checked::Long(reply);
+    }
+    let (parts, answer) = reply.into_parts();
+    match answer.collect().await {
+        Ok(whole) => Checked::Whole(Response::from_parts(parts, whole.to_bytes())),
+        Err(err) => Checked::Spoilt(err.to_string()),
+    }
+}
+
+fn settle(context: &Context, checked: Checked, slot: Slot, begin: Duration) -> Outcome {
+    let took = context.now().saturating_sub(begin);
+    match checked {
+        Checked::Whole(response) => {
+            let failed = response.status().is_server_error();
+            slot.end(if failed {
+                Ending::Bad(Evidence::Failed)
+            } else {
+                Ending::Good(took)
+            });
+            let (mut parts, bytes) = response.into_parts();
+            parts.headers = end_to_end(&parts.headers);
+            let response = Response::from_parts(parts, body::full(bytes));
+            if failed {
+                Outcome::Failed(response)
+            } else {
+                Outcome::Answer(response)
+            }
+        }
+        Checked::Long(reply) => {
+            let (mut parts, answer) = reply.into_parts();
+            parts.headers = end_to_end(&parts.headers);
+            let held = Held {
+                body: answer,
+                slot: Some(slot),
+                took,
+            };
+            Outcome::Answer(Response::from_parts(parts, body::boxed(held)))
+        }
+        Checked::Shed => {
+            slot.end(Ending::Shed);
+            unrun("shed")
+        }
+        Checked::Misdirected => {
+            slot.end(Ending::Misdirected);
+            unrun("misdirected")
+        }
+        Checked::Spoilt(error) => {
+            slot.end(Ending::Bad(Evidence::Cut));
+            Outcome::Lost {
+                reason: "spoilt",
+                error,
+            }
+        }
+    }
+}
+
+fn unrun(reason: &'static str) -> Outcome {
+    Outcome::Unrun {
+        reason,
+        sent: true,
+        body: None,
+    }
+}
+
+/// Body of a long answer, which holds its slot until it has passed through.
+struct Held {
+    body: wb_http::pool::Answer,
+    slot: Option<Slot>,
+    took: Duration,
+}
+
+impl http_body::Body for Held {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<http_body::Frame<Bytes>, hyper::Error>>> {
+        let frame = std::task::ready!(std::pin::Pin::new(&mut self.body).poll_frame(cx));
+        let ending = match &frame {
+            Some(Ok(_)) => None,
+            Some(Err(_)) => Some(Ending::Bad(Evidence::Cut)),
+            None => Some(Ending::Good(self.took)),
+        };
+        if let Some(ending) = ending
+            && let Some(slot) = self.slot.take()
+        {
+            slot.end(ending);
+        }
+        std::task::Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Headers that go on to the other side.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    if let Some(named) = text(headers, &http::header::CONNECTION) {
+        for name in named.split(',') {
+            kept.remove(name.trim());
+        }
+    }
+    for name in HOP_BY_HOP {
+        kept.remove(name);
+    }
+    kept
+}
--- /dev/null
+++ b/crates/wb-gateway/src/front/slot.rs
@@ -0,0 +1,218 @@
+//! Slots at backend servers, taken and given back.
+
+use std::sync::Arc;
+
+use wb_balance::Ask;
+use wb_balance::Ending;
+use wb_balance::Evidence;
+use wb_balance::Grant;
+use wb_balance::Offer;
+use wb_balance::Refusal;
+use wb_balance::WaitKey;
+use wb_balance::balancer::Cause;
+use wb_balance::balancer::Change;
+use wb_event::Event;
+use wb_event::line;
+
+use super::intake::Intake;
+use crate::Context;
+use crate::metrics::ServiceLabels;
+use crate::peers::Packet;
+
+/// A slot at a server, given back when it is dropped.
+pub struct Slot {
+    /// What was granted.
+    pub grant: Box<Grant>,
+    context: Arc<Context>,
+    intake: Arc<Intake>,
+    ended: bool,
+}
+
+/// How a request asks for a slot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Turn {
+    /// It came from a caller.
+    First,
+    /// A server has shed it, or it runs again.
+    Again,
+    /// No byte of it was handed over.
+    Unsent,
+}
+
+/// A waiting request, taken out when it is dropped.
+struct Waiting<'a> {
+    context: &'a Context,
+    intake: &'a Intake,
+    key: WaitKey,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut state = self.context.state();
+        if let Some(service) = state.services.get_mut(&self.intake.service) {
+            service.cancel(self.key);
+        }
+    }
+}
+
+/// Takes a slot, or waits for one.
+///
+/// # Errors
+///
+/// The refusal, if the request can't be served in time.
+pub async fn take(
+    context: &Arc<Context>,
+    intake: &Arc<Intake>,
+    ask: Ask,
+    turn: Turn,
+) -> Result<Slot, Refusal> {
+    let now = context.now();
+    let (offer, wait) = {
+        let mut state = context.state();
+        let service = state.service(&intake.service, context);
+        let offer = match turn {
+            Turn::First => service.balancer.offer(ask, now),
+            Turn::Again => service.balancer.again(ask, now),
+            Turn::Unsent => service.balancer.elsewhere(ask, now),
+        };
+        let wait = match &offer {
+            Offer::Wait(key) => Some(service.wait(*key)),
+            _ => None,
+        };
+        (offer, wait)
+    };
+    let grant = match (offer, wait) {
+        (Offer::Go(grant), _) => grant,
+        (Offer::Refuse(refusal), _) => return Err(refusal),
+        (Offer::Wait(key), wait) => {
+            let waiting = Waiting {
+                context,
+                intake,
+                key,
+            };
+            context.waiting.notify_one();
+            line!(Event::Queued, request = intake.id, service = intake.service);
+            let wait = wait.expect("a waiting request has a receiver");
+            let verdict = wait.await;
+            drop(waiting);
+            let waited = context.now().saturating_sub(now);
+            context.metrics.queued.observe(waited.as_secs_f64());
+            // The sender goes only if the request was taken out, which its own task alone does.
+            verdict.unwrap_or(Err(Refusal {
+                cause: Cause::Deadline,
+                after: std::time::Duration::ZERO,
+            }))?
+        }
+    };
+    line!(
+        Event::Routed,
+        request = intake.id,
+        service = intake.service,
+        server = grant.server.name,
+        turn = format!("{turn:?}"),
+        trial = grant.trial,
+        running = grant.running,
+        score = grant.score,
+        age_ms = grant.age.map(|age| age.as_millis() as u64),
+        waited_ms = context.now().saturating_sub(now).as_millis() as u64,
+        routes = intake.version
+    );
+    Ok(Slot {
+        grant,
+        context: context.clone(),
+        intake: intake.clone(),
+        ended: false,
+    })
+}
+
+impl Slot {
+    /// Gives the slot back, with what the send told of the server.
+    pub fn end(mut self, ending: Ending) {
+        self.give_back(ending);
+    }
+
+    /// Takes evidence while the request is still running.
+    pub fn note(&self, evidence: Evidence) {
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let Some(service) = state.services.get_mut(&self.intake.service) else {
+            return;
+        };
+        let change = service.balancer.note(self.grant.key, evidence, now);
+        let to = state.steering.everyone();
+        drop(state);
+        if let Some(change) = change {
+            self.tell(&change, to);
+        }
+    }
+
+    fn give_back(&mut self, ending: Ending) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let Some(service) = state.services.get_mut(&self.intake.service) else {
+            return;
+        };
+        let route = &self.intake.route.name;
+        let change = service.balancer.finish(self.grant.key, route, ending, now);
+        service.pump(now);
+        let to = if change.is_some() {
+            state.steering.everyone()
+        } else {
+            Vec::new()
+        };
+        drop(state);
+        let labels = ServiceLabels {
+            service: self.intake.service.to_string(),
+            kind: kind(ending),
+        };
+        self.context.metrics.sends.get_or_create(&labels).inc();
+        if let Some(change) = change {
+            self.tell(&change, to);
+        }
+    }
+
+    fn tell(&self, change: &Change, to: Vec<std::net::SocketAddr>) {
+        if change.turned {
+            line!(
+                Event::Health,
+                service = self.intake.service,
+                server = change.server,
+                evidence = change.evidence,
+                suspect = change.suspect,
+                score = change.score,
+                request = self.intake.id
+            );
+            let labels = ServiceLabels {
+                service: self.intake.service.to_string(),
+                kind: if change.suspect { "suspect" } else { "cleared" },
+            };
+            self.context.metrics.verdicts.get_or_create(&labels).inc();
+        }
+        let packet = Packet::Learnt {
+            from: self.context.settings.card.name.clone(),
+            service: self.intake.service.clone(),
+            server: change.server.clone(),
+            evidence: change.evidence,
+        };
+        self.context.tell(packet, to);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.give_back(Ending::Void);
+    }
+}
+
+fn kind(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Good(_) => "good",
+        Ending::Bad(evidence) => evidence.into(),
+        Ending::Shed => "shed",
+        Ending::Misdirected => "misdirected",
+        Ending::Void => "void",
+    }
+}
--- /dev/null
+++ b/crates/wb-gateway/src/peers/beat.rs
@@ -0,0 +1,118 @@
+//! Beats, and the choice of homes that goes with them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use wb_event::Event;
+use wb_event::line;
+
+use super::Packet;
+use super::packet::Beat;
+use crate::Context;
+use crate::context::State;
+
+/// Time between beats of a candidate; a quarter of the silence after which it is passed over.
+const BEAT: Duration = Duration::from_millis(300);
+/// Time between the counts of running requests that homes tell each other; a fifth of a usual
+/// request.
+const RUNNING: Duration = Duration::from_millis(60);
+/// Processor share that the homes need for each slot of the backend servers, in cores: a
+/// thousandth of a core carries one request a second, of which a slot takes two.
+const CORES_PER_SLOT: f32 = 0.0015;
+
+/// A beat of this instance.
+pub fn beat(context: &Context, state: &State, hello: bool) -> Packet {
+    let steering = &state.steering;
+    Packet::Beat(Box::new(Beat {
+        card: steering.own().clone(),
+        home: steering.is_home() && !context.is_leaving(),
+        hello,
+        routes: state.routes.as_ref().map_or(0, |routes| routes.version),
+        listing: state.listing.mark().unwrap_or(0),
+        age: context.now().saturating_sub(state.listing_seen),
+        candidates: if steering.is_home() {
+            steering.candidates().to_vec()
+        } else {
+            Vec::new()
+        },
+    }))
+}
+
+/// Beats until the daemon ends.
+pub async fn run(context: Arc<Context>) {
+    loop {
+        step(&context);
+        tokio::time::sleep(BEAT).await;
+    }
+}
+
+fn step(context: &Context) {
+    let now = context.now();
+    let mut state = context.state();
+    let slots: u32 = state
+        .listing
+        .entries()
+        .values()
+        .map(|entry| entry.server.slots)
+        .sum();
+    state.steering.set_need(slots as f32 * CORES_PER_SLOT);
+    choose(context, &mut state);
+    if state.steering.is_candidate() && !context.is_leaving() {
+        let packet = beat(context, &state, false);
+        context.tell(packet, state.steering.audience());
+    }
+    let metrics = &context.metrics;
+    let age = |seen| now.saturating_sub(seen).as_millis() as i64;
+    metrics.listing_age.set(age(state.listing_seen));
+    metrics.routes_age.set(age(state.routes_seen));
+    metrics.lines_dropped.set(wb_event::line::dropped() as i64);
+}
+
+/// Chooses the homes anew, and makes the change known.
+pub fn choose(context: &Context, state: &mut State) {
+    let now = context.now();
+    let before = state.steering.homes().to_vec();
+    if !state.steering.choose(now) {
+        return;
+    }
+    let homes = state.steering.homes().to_vec();
+    for name in before.iter().filter(|name| !homes.contains(name)) {
+        for service in state.services.values_mut() {
+            service.balancer.forget(name);
+        }
+    }
+    line!(
+        Event::Placement,
+        homes = homes,
+        before = before,
+        own = state.steering.is_home()
+    );
+    state.spread(context, now);
+}
+
+/// Tells the other homes what is running, until the daemon ends.
+pub async fn tell_running(context: Arc<Context>) {
+    let mut last = None;
+    loop {
+        tokio::time::sleep(RUNNING).await;
+        let state = context.state();
+        if !state.steering.is_home() && last.is_none() {
+            continue;
+        }
+        let counts = state.services.iter();
+        let running: super::packet::Running = counts
+            .map(|(name, service)| (name.clone(), service.balancer.running()))
+            .filter(|(_, running)| !running.is_empty())
+            .collect();
+        if last.as_ref() == Some(&running) {
+            continue;
+        }
+        let from = state.steering.own().name.clone();
+        let packet = Packet::Running {
+            from,
+            running: running.clone(),
+        };
+        context.tell(packet, state.steering.other_homes());
+        last = Some(running);
+    }
+}
--- /dev/null
+++ b/crates/wb-gateway/src/peers/whole.rs
@@ -0,0 +1,98 @@
+//! Everything that an instance knows, for one that can't read it from the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+use wb_http::Body;
+use wb_http::body;
+use wb_http::call::CallError;
+use wb_http::call::Target;
+use wb_http::serve::Handler;
+use wb_members::listing::Entry;
+use wb_members::listing::Mark;
+use wb_members::steer::Card;
+use wb_route::RouteTable;
+
+use crate::Context;
+
+/// Path of the call.
+const PATH: &str = "/whole";
+/// Longest wait for an answer: some ways between failure domains, and the time for a large table.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Everything that an instance knows.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Whole {
+    /// Routes in force.
+    pub routes: Option<RouteTable>,
+    /// Mark of the list of servers.
+    pub listing: Option<Mark>,
+    /// The list.
+    pub entries: Vec<Entry>,
+    /// Instances.
+    pub cards: Vec<Card>,
+}
+
+/// Answers other instances.
+pub struct Answers(pub Arc<Context>);
+
+impl Handler for Answers {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        let found = request.uri().path() == PATH;
+        let bytes = found.then(|| self.whole());
+        async move {
+            let Some(bytes) = bytes else {
+                let mut response = Response::new(body::empty());
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                return response;
+            };
+            Response::new(body::full(bytes))
+        }
+        .boxed()
+    }
+}
+
+impl Answers {
+    fn whole(&self) -> Vec<u8> {
+        let state = self.0.state();
+        let whole = Whole {
+            routes: state
+                .routes
+                .as_ref()
+                .map(|routes| RouteTable::clone(routes)),
+            listing: state.listing.mark(),
+            entries: state.listing.entries().values().cloned().collect(),
+            cards: state.steering.cards(),
+        };
+        postcard::to_stdvec(&whole).expect("what is known is plain data")
+    }
+}
+
+/// Asks another instance for everything that it knows.
+///
+/// # Errors
+///
+/// See [`CallError`].
+pub async fn fetch(context: &Context, address: SocketAddr) -> Result<Whole, CallError> {
+    let target = Target {
+        pool: context.peer_pool.clone(),
+        address,
+        timeout: TIMEOUT,
+        token: None,
+    };
+    let answer = target.get(PATH).await?;
+    postcard::from_bytes(&answer.body).map_err(|err| CallError::Malformed(err.to_string()))
+}
--- /dev/null
+++ b/crates/wb-gateway/src/port.rs
@@ -0,0 +1,122 @@
+//! What the daemon asks of a platform, and the names that are used on the wire there.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use http::HeaderName;
+use wb_members::listing::Entry;
+use wb_members::listing::Mark;
+use wb_members::listing::Update;
+use wb_members::steer::Card;
+use wb_route::RouteTable;
+use wb_types::id::InstanceName;
+
+/// Why the platform gave nothing.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The call took no effect.
+    #[error("platform is down: {0}")]
+    Down(String),
+    /// The call may have taken effect.
+    #[error("platform did not say: {0}")]
+    Unknown(String),
+    /// The changes since the mark are not kept any more.
+    #[error("platform has dropped the changes since the mark")]
+    Forgotten,
+    /// The answer is not of the published form.
+    #[error("platform answered: {0}")]
+    Malformed(String),
+}
+
+/// Something that could not be read, and where it stands.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Finding {
+    /// Row it stands in.
+    pub place: String,
+    /// What is wrong.
+    pub what: String,
+}
+
+/// The whole list of backend servers.
+#[derive(Clone, Debug, Default)]
+pub struct Servers {
+    /// Mark up to which it is complete.
+    pub mark: Mark,
+    /// Entries that could be read.
+    pub entries: Vec<Entry>,
+    /// Entries that could not.
+    pub findings: Vec<Finding>,
+}
+
+/// Changes of the list of backend servers.
+#[derive(Clone, Debug, Default)]
+pub struct Changes {
+    /// The changes that could be read; an entry that could not counts as vanished.
+    pub update: Update,
+    /// Entries that could not be read.
+    pub findings: Vec<Finding>,
+}
+
+/// The routes as the platform has them.
+#[derive(Clone, Debug, Default)]
+pub struct Routes {
+    /// Mark up to which this is the newest.
+    pub mark: Mark,
+    /// The routes; `None` if there are none, or none newer than the mark asked for.
+    pub table: Option<RouteTable>,
+    /// Parts that could not be read.
+    pub findings: Vec<Finding>,
+}
+
+/// The platform's tables, as far as the daemon uses them.
+pub trait Catalog: Send + Sync {
+    /// The routes in force.
+    fn routes(&self) -> BoxFuture<'_, Result<Routes, Error>>;
+    /// Waits for routes that are newer than a mark.
+    fn next_routes(&self, after: Mark, wait: Duration) -> BoxFuture<'_, Result<Routes, Error>>;
+    /// All backend servers.
+    fn servers(&self) -> BoxFuture<'_, Result<Servers, Error>>;
+    /// Waits for changes of the backend servers since a mark.
+    fn next_servers(&self, after: Mark, wait: Duration) -> BoxFuture<'_, Result<Changes, Error>>;
+    /// Tells other instances of this one.
+    fn join(&self, card: &Card) -> BoxFuture<'_, Result<(), Error>>;
+    /// Instances that have joined and not left.
+    fn members(&self) -> BoxFuture<'_, Result<Vec<Card>, Error>>;
+    /// Takes an instance out again.
+    fn leave(&self, name: &InstanceName) -> BoxFuture<'_, Result<(), Error>>;
+}
+
+/// Header names of requests and answers.
+#[derive(Clone, Debug)]
+pub struct Headers {
+    /// Id of one attempt of a caller; servers echo it.
+    pub request: HeaderName,
+    /// Milliseconds that the sender will wait.
+    pub deadline: HeaderName,
+    /// Proof that an answer was made by a server.
+    pub signature: HeaderName,
+    /// Server that alone may run the request.
+    pub target: HeaderName,
+    /// Says of an answer that the request was not run.
+    pub unrun: HeaderName,
+}
+
+/// A caller's question which addresses to use.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Question {
+    /// Host that the caller wants to reach.
+    pub host: String,
+    /// Failure domain of the caller, if it says so.
+    pub domain: Option<String>,
+}
+
+/// The platform's calls to the daemon.
+pub trait Calls: Send + Sync {
+    /// Reads a question which addresses to use; `None` if the call is another one.
+    fn question(&self, uri: &http::Uri) -> Option<Question>;
+    /// Answer to such a question.
+    fn addresses(&self, addresses: &[SocketAddr], keep: Duration) -> Vec<u8>;
+    /// Whether a call asks if the instance is ready.
+    fn is_ready(&self, uri: &http::Uri) -> bool;
+}
--- /dev/null
+++ b/crates/wb-gateway/src/service.rs
@@ -0,0 +1,147 @@
+//! Servers and waiting requests of one service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+use wb_balance::Balancer;
+use wb_balance::Grant;
+use wb_balance::Listed;
+use wb_balance::Options;
+use wb_balance::Refusal;
+use wb_balance::RetryBudget;
+use wb_balance::WaitKey;
+use wb_types::id::Moment;
+use wb_types::id::ServiceName;
+
+use crate::context::Context;
+use crate::context::State;
+use crate::settings::Bounds;
+
+/// Part of the fleet's retry allowance that is used; the rest is for windows that the fleet counts
+/// otherwise than this instance.
+const RETRY_PART: f64 = 0.8;
+
+/// What a waiting request hears.
+pub type Verdict = Result<Box<Grant>, Refusal>;
+
+/// Servers and waiting requests of one service.
+pub struct Service {
+    /// Decisions.
+    pub balancer: Balancer,
+    waiters: HashMap<WaitKey, oneshot::Sender<Verdict>>,
+}
+
+impl Service {
+    /// A service without servers.
+    pub fn new(domain: &str, bounds: &Bounds) -> Self {
+        let options = Options {
+            domain: domain.to_owned(),
+            ..Options::default()
+        };
+        let budget = RetryBudget::new(
+            bounds.ratio * RETRY_PART,
+            bounds.reserve * RETRY_PART,
+            bounds.window,
+        );
+        Self {
+            balancer: Balancer::new(options, budget),
+            waiters: HashMap::new(),
+        }
+    }
+
+    /// Waits for the verdict on a waiting request.
+    pub fn wait(&mut self, key: WaitKey) -> oneshot::Receiver<Verdict> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.insert(key, sender);
+        receiver
+    }
+
+    /// Takes a waiting request out.
+    pub fn cancel(&mut self, key: WaitKey) {
+        self.balancer.cancel(key);
+        self.waiters.remove(&key);
+    }
+
+    /// Gives free slots to waiting requests.
+    pub fn pump(&mut self, now: Moment) {
+        if self.balancer.waiting() == 0 {
+            return;
+        }
+        for released in self.balancer.pump(now) {
+            let Some(waiter) = self.waiters.remove(&released.key) else {
+                continue;
+            };
+            // A request whose caller went away gives its slot back when the grant is dropped.
+            if let Err(Ok(grant)) = waiter.send(released.result) {
+                self.balancer
+                    .finish(grant.key, "", wb_balance::Ending::Void, now);
+            }
+        }
+    }
+
+    /// Takes the part of the fleet's work that this instance carries.
+    pub fn set_part(&mut self, part: f64, bounds: &Bounds) {
+        self.balancer.set_part(part);
+        let reserve = bounds.reserve * RETRY_PART * part;
+        let budget = self.balancer.budget();
+        budget.set(bounds.ratio * RETRY_PART, reserve, bounds.window);
+    }
+}
+
+impl State {
+    /// The service, made if it is new.
+    pub fn service(&mut self, name: &ServiceName, context: &Context) -> &mut Service {
+        let settings = &context.settings;
+        self.services
+            .entry(name.clone())
+            .or_insert_with(|| Service::new(&settings.card.domain, &settings.bounds))
+    }
+
+    /// Hands the list of servers to the services.
+    pub fn spread(&mut self, context: &Context, now: Moment) {
+        let mut lists: HashMap<ServiceName, Vec<Listed>> = HashMap::new();
+        for name in self.services.keys() {
+            lists.insert(name.clone(), Vec::new());
+        }
+        let part = self.part();
+        for entry in self.listing.entries().values() {
+            let mut server = entry.server.clone();
+            server.connections = self.connections(&server.service, part);
+            let cold = entry.cold;
+            let list = lists.entry(server.service.clone()).or_default();
+            list.push(Listed { server, cold });
+        }
+        for (name, list) in lists {
+            let service = self.service(&name, context);
+            service.balancer.update(&list, now);
+            service.set_part(part, &context.settings.bounds);
+            service.pump(now);
+        }
+    }
+
+    /// Part of the fleet's work that this instance carries.
+    pub fn part(&self) -> f64 {
+        if !self.steering.is_home() {
+            return STRAY;
+        }
+        let homes = self.steering.homes().len().max(1);
+        (1.0 - STRAYS) / homes as f64
+    }
+
+    /// Connections that this instance may open to a server of a service.
+    fn connections(&self, service: &ServiceName, part: f64) -> u32 {
+        let routes: Option<&Arc<_>> = self.routes.as_ref();
+        let known = routes.and_then(|routes| routes.services.get(service));
+        let all = known.map_or(f64::from(CONNECTIONS), |known| f64::from(known.connections));
+        (all * part).max(1.0) as u32
+    }
+}
+
+/// Part of the fleet's work that all instances together carry that are no homes: callers with old
+/// answers.
+const STRAYS: f64 = 0.2;
+/// Part of it that one of them carries; a fleet has some dozens of them.
+const STRAY: f64 = 0.006;
+/// Connections that a server is taken to accept before the routes tell.
+const CONNECTIONS: u32 = 64;
--- a/crates/wb-members/src/lib.rs
+++ b/crates/wb-members/src/lib.rs
@@ -6,8 +6,10 @@
 //!
 //! Both are soft state: two views that differ cost efficiency, never correctness.
 
+pub mod listing;
 pub mod members;
 pub mod place;
+pub mod steer;
 
 pub use members::Change;
 pub use members::Members;
--- a/crates/wb-members/src/place/mod.rs
+++ b/crates/wb-members/src/place/mod.rs
@@ -9,6 +9,7 @@
 mod homes;
 mod owners;
 
+pub(crate) use hash::weight;
 pub use heirs::heirs;
 pub use homes::homes;
 pub use owners::Owner;
--- /dev/null
+++ b/crates/wb-route/src/route.rs
@@ -0,0 +1,70 @@
+//! One route.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+use strum::IntoStaticStr;
+
+use crate::Part;
+use crate::split;
+
+/// Name of a route, unique in its table.
+pub type RouteName = Arc<str>;
+/// Rank of a route; 0 goes first.
+pub type Priority = u8;
+
+/// Whether a request may run more than once.
+#[derive(
+    Clone, Copy, Debug, Display, Eq, Hash, IntoStaticStr, PartialEq, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Repeat {
+    /// Running it again does no harm.
+    Idempotent,
+    /// It runs at most once.
+    Once,
+    /// It runs at most once, and its body may be large.
+    Upload,
+}
+
+impl Repeat {
+    /// Whether running the request again does no harm.
+    pub fn is_idempotent(self) -> bool {
+        self == Self::Idempotent
+    }
+}
+
+/// A route from a host and a path prefix to one or more services.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Name of the route.
+    pub name: RouteName,
+    /// Host that callers name.
+    pub host: String,
+    /// Beginning of the path, from slash to slash.
+    pub prefix: String,
+    /// Whether requests may run more than once.
+    pub repeat: Repeat,
+    /// Longest time until the final answer.
+    pub timeout: Duration,
+    /// Time within which an answer has its full worth.
+    pub objective: Duration,
+    /// Rank among the routes of a service.
+    pub priority: Priority,
+    /// Servers to which one request may be sent.
+    pub attempts: u32,
+    /// Services that run the requests, with their shares.
+    pub parts: Vec<Part>,
+}
+
+impl Route {
+    /// Part for the `n`th request of this route.
+    pub fn part(&self, n: u64) -> Option<&Part> {
+        split::pick(&self.parts, n)
+    }
+}
--- /dev/null
+++ b/crates/wb-route/src/table.rs
@@ -0,0 +1,99 @@
+//! All routes of one version.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use wb_types::id::ServiceName;
+use wb_types::id::TableVersion;
+
+use crate::Route;
+
+/// Bounds on what callers send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub head: usize,
+    /// Largest body of a request, in bytes.
+    pub body: u64,
+    /// Longest time for the head of a request.
+    pub header: Duration,
+    /// Longest time that a connection waits for its next request.
+    pub idle: Duration,
+}
+
+/// What is configured of one service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Connections that each of its servers accepts from the whole fleet.
+    pub connections: u32,
+}
+
+/// All routes of one version, in force together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteTable {
+    /// Version; higher ones replace lower ones.
+    pub version: TableVersion,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// Bounds on what callers send.
+    pub limits: Limits,
+    /// Routes by host, the longest prefix first.
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// A table of routes.
+    pub fn new(
+        version: TableVersion,
+        routes: Vec<Route>,
+        services: BTreeMap<ServiceName, Service>,
+        limits: Limits,
+    ) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self {
+            version,
+            services,
+            limits,
+            hosts,
+        }
+    }
+
+    /// The route of a host, with or without a port, whose prefix is the longest of the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.split(':').next().unwrap_or(host);
+        let routes = match self.hosts.get(host) {
+            Some(routes) => routes,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Whether any route has this host.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.hosts.contains_key(&host.to_ascii_lowercase())
+    }
+
+    /// Number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
