fix(steer): a home that has not said so lately is none

Cause: beats at the start say that each instance is a home, as it knows no other; the flag was never dropped for those that beat to candidates only, so callers were told 6 to 12 addresses.

--- a/crates/wb-gateway/src/directory.rs
+++ b/crates/wb-gateway/src/directory.rs
@@ -35,7 +35,7 @@
             return status(StatusCode::NOT_FOUND);
         };
         let state = context.state();
-        let addresses = state.steering.addresses();
+        let addresses = state.steering.addresses(context.now());
         let keep = KEEP.min(context.settings.bounds.keep);
         line!(
             Event::Resolved,
--- a/crates/wb-members/src/steer/mod.rs
+++ b/crates/wb-members/src/steer/mod.rs
@@ -67,7 +67,8 @@
     expected: bool,
     silent: bool,
     left: bool,
-    home: bool,
+    /// When it said last that it is a home, unless it said otherwise since.
+    home: Option<Moment>,
 }
 
 /// What one instance knows of the others.
@@ -123,7 +124,7 @@
             expected: false,
             silent: false,
             left: false,
-            home: false,
+            home: None,
         };
         self.peers.insert(name, peer);
         true
@@ -136,7 +137,7 @@
         if let Some(peer) = self.peers.get_mut(&name) {
             peer.heard = now;
             peer.silent = false;
-            peer.home = home;
+            peer.home = home.then_some(now);
         }
         fresh
     }
@@ -161,7 +162,7 @@
             self.leaving = true;
         } else if let Some(peer) = self.peers.get_mut(name) {
             peer.left = true;
-            peer.home = false;
+            peer.home = None;
         }
     }
 
@@ -176,7 +177,6 @@
             let quiet = now.saturating_sub(peer.heard) > self.options.silence;
             if peer.expected && quiet {
                 peer.silent = true;
-                peer.home = false;
             }
         }
         let mut ranked = self.ranked();
@@ -247,8 +247,10 @@
 
     /// Addresses for callers: the instances that said lately that they are homes, and this one
     /// if it is; if there is none, this one.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        let told = self.peers.values().filter(|peer| peer.home && !peer.left);
+    pub fn addresses(&self, now: Moment) -> Vec<SocketAddr> {
+        let fresh = |at: Moment| now.saturating_sub(at) <= self.options.silence;
+        let home = |peer: &&Peer| peer.home.is_some_and(fresh) && !peer.left;
+        let told = self.peers.values().filter(home);
         let mut found: Vec<SocketAddr> = told.map(|peer| peer.card.callers).collect();
         if self.is_home() || found.is_empty() {
             found.push(self.own.callers);
