fix(listing): lapsed entries end by time alone; news are chained by versions that made a difference

Found beside it: news of a home were refused by the others whenever it had read on without changes between.

--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -115,7 +115,7 @@
         }
         let behind = whole.listing > state.listing.mark();
         if let Some(mark) = whole.listing.filter(|_| behind) {
-            let changed = state.listing.replace(mark, whole.entries, now);
+            let changed = state.listing.replace(mark, whole.rows, now);
             super::servers::changed(context, &mut state, &changed, "peer");
         }
         return;
--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -5,9 +5,8 @@
 
 use wb_event::Event;
 use wb_event::line;
-use wb_members::listing::Entry;
+use wb_members::listing::Change;
 use wb_members::listing::Update;
-use wb_types::id::ServerName;
 use wb_types::roster::Stay;
 
 use super::Backoff;
@@ -16,8 +15,8 @@
 use crate::Context;
 use crate::context::State;
 use crate::peers::Packet;
-use crate::port::Changes;
 use crate::port::Error;
+use crate::port::Servers;
 
 /// Longest time that the platform holds a question for changes. Servers write all the time, so
 /// that no answer for longer means that the platform is impaired.
@@ -27,7 +26,7 @@
 /// Age of the list at which an instance that is no home asks for itself.
 const STALE: Duration = Duration::from_millis(1700);
 /// Changes told in one packet.
-const CHANGES_MAX: usize = 6;
+const CHANGES_MAX: usize = 8;
 
 /// Follows the servers until the daemon ends.
 pub async fn run(context: Arc<Context>) {
@@ -44,7 +43,6 @@
         match result {
             Ok(()) => {
                 backoff.reset();
-                expire(&context);
                 tokio::time::sleep(GATHER).await;
             }
             Err(Error::Forgotten) => reread(&context).await,
@@ -88,75 +86,59 @@
     let now = context.now();
     let mut state = context.state();
     state.listing.answered(now);
-    let changed = state.listing.replace(servers.mark, servers.entries, now);
+    let changed = state.listing.replace(servers.mark, servers.rows, now);
     state.listing_seen = now;
     self::changed(context, &mut state, &changed, "platform");
     Ok(())
 }
 
-fn take(context: &Context, changes: Changes) {
-    report(&changes.findings);
+fn take(context: &Context, servers: Servers) {
+    report(&servers.findings);
     let now = context.now();
     let mut state = context.state();
     state.listing.answered(now);
-    let after = changes.update.after;
-    let upto = changes.update.upto;
-    let Some(changed) = state.listing.apply(changes.update, now) else {
-        return;
-    };
+    let after = state.listing.state();
+    let changed = state.listing.apply(servers.mark, servers.rows, now);
     state.listing_seen = now;
-    tell(context, &state, after, upto, &changed);
+    tell(context, &state, after, &changed);
     self::changed(context, &mut state, &changed, "platform");
 }
 
-/// Tells all other instances what changed, if this one is a home.
-fn tell(
-    context: &Context,
-    state: &State,
-    after: u64,
-    upto: u64,
-    changed: &[(ServerName, Option<Entry>)],
-) {
+/// Tells all other instances what changed after a version, if this one is a home.
+fn tell(context: &Context, state: &State, after: Option<u64>, changed: &[Change]) {
     if !state.steering.is_home() || changed.is_empty() {
         return;
     }
     let to = state.steering.everyone();
-    for part in changed.chunks(CHANGES_MAX) {
+    let chunks = changed.chunks(CHANGES_MAX);
+    let parts = chunks.len() as u32;
+    for (part, chunk) in (0..).zip(chunks) {
         let update = Update {
-            after,
-            upto,
-            changes: part.to_vec(),
+            after: after.unwrap_or(0),
+            upto: state.listing.state().unwrap_or(0),
+            part,
+            parts,
+            changes: chunk.to_vec(),
         };
         context.tell(Packet::Servers(update), to.clone());
     }
 }
 
 /// Drops entries that the platform lost and whose servers did not come back.
-fn expire(context: &Context) {
-    let now = context.now();
-    let mut state = context.state();
-    let names = state.listing.expire(now);
-    if names.is_empty() {
-        return;
-    }
-    let changed: Vec<(ServerName, Option<Entry>)> =
-        names.into_iter().map(|name| (name, None)).collect();
-    let mark = state.listing.mark().unwrap_or(0);
-    tell(context, &state, mark, mark, &changed);
-    self::changed(context, &mut state, &changed, "lapse");
+pub fn expire(context: &Context, state: &mut State) {
+    let after = state.listing.state();
+    let changed = state.listing.expire(context.now());
+    tell(context, state, after, &changed);
+    self::changed(context, state, &changed, "lapse");
 }
 
 /// Puts changes of the list in force.
-pub fn changed(
-    context: &Context,
-    state: &mut State,
-    changed: &[(ServerName, Option<Entry>)],
-    source: &'static str,
-) {
+pub fn changed(context: &Context, state: &mut State, changed: &[Change], source: &'static str) {
     if changed.is_empty() {
         return;
     }
-    for (name, entry) in changed {
+    for change in changed {
+        let entry = change.entry.as_ref();
         let kind = match entry {
             None => "gone",
             Some(entry) if entry.server.stay == Stay::Leaving => "leaving",
@@ -164,10 +146,10 @@
         };
         line!(
             Event::RosterChanged,
-            server = name,
+            server = change.name,
             change = kind,
-            service = entry.as_ref().map(|entry| &entry.server.service),
-            mark = state.listing.mark(),
+            service = entry.map(|entry| &entry.server.service),
+            version = change.version,
             source = source
         );
     }
--- a/crates/wb-gateway/src/peers/beat.rs
+++ b/crates/wb-gateway/src/peers/beat.rs
@@ -28,7 +28,7 @@
         home: steering.is_home() && !context.is_leaving(),
         hello,
         routes: state.routes.as_ref().map_or(0, |routes| routes.version),
-        listing: state.listing.mark().unwrap_or(0),
+        listing: state.listing.state().unwrap_or(0),
         age: context.now().saturating_sub(state.listing_seen),
         candidates: if steering.is_home() {
             steering.candidates().to_vec()
@@ -56,6 +56,7 @@
         .map(|entry| entry.server.slots)
         .sum();
     state.steering.set_need(slots as f32 * CORES_PER_SLOT);
+    crate::follow::servers::expire(context, &mut state);
     choose(context, &mut state);
     if state.steering.is_candidate() && !context.is_leaving() {
         let packet = beat(context, &state, false);
--- a/crates/wb-gateway/src/peers/hear.rs
+++ b/crates/wb-gateway/src/peers/hear.rs
@@ -59,7 +59,7 @@
     if heard.routes > routes {
         context.routes_due.notify_one();
     }
-    if state.listing.mark() == Some(heard.listing) {
+    if state.listing.state() == Some(heard.listing) {
         let seen = now.saturating_sub(heard.age);
         state.listing_seen = state.listing_seen.max(seen);
     }
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -63,7 +63,7 @@
     pub hello: bool,
     /// Version of the routes that the sender holds; 0 for none.
     pub routes: TableVersion,
-    /// Mark of the list of servers that the sender holds.
+    /// Version of the list of servers that the sender holds.
     pub listing: Mark,
     /// Time since that list was confirmed to be complete.
     pub age: Duration,
--- a/crates/wb-gateway/src/peers/whole.rs
+++ b/crates/wb-gateway/src/peers/whole.rs
@@ -17,12 +17,13 @@
 use wb_http::call::CallError;
 use wb_http::call::Target;
 use wb_http::serve::Handler;
-use wb_members::listing::Entry;
+use wb_members::listing::Change;
 use wb_members::listing::Mark;
 use wb_members::steer::Card;
 use wb_route::RouteTable;
 
 use crate::Context;
+use crate::context::State;
 
 /// Path of the call.
 const PATH: &str = "/whole";
@@ -37,7 +38,7 @@
     /// Mark of the list of servers.
     pub listing: Option<Mark>,
     /// The list.
-    pub entries: Vec<Entry>,
+    pub rows: Vec<Change>,
     /// Instances.
     pub cards: Vec<Card>,
 }
@@ -74,13 +75,26 @@
                 .as_ref()
                 .map(|routes| RouteTable::clone(routes)),
             listing: state.listing.mark(),
-            entries: state.listing.entries().values().cloned().collect(),
+            rows: rows(&state),
             cards: state.steering.cards(),
         };
         postcard::to_stdvec(&whole).expect("what is known is plain data")
     }
 }
 
+/// The list of servers as rows of the version that it has.
+fn rows(state: &State) -> Vec<Change> {
+    let entries = state.listing.entries().iter();
+    let version = state.listing.state().unwrap_or(0);
+    entries
+        .map(|(name, entry)| Change {
+            name: name.clone(),
+            version,
+            entry: Some(entry.clone()),
+        })
+        .collect()
+}
+
 /// Asks another instance for everything that it knows.
 ///
 /// # Errors
--- a/crates/wb-gateway/src/port.rs
+++ b/crates/wb-gateway/src/port.rs
@@ -5,9 +5,8 @@
 
 use futures::future::BoxFuture;
 use http::HeaderName;
-use wb_members::listing::Entry;
+use wb_members::listing::Change;
 use wb_members::listing::Mark;
-use wb_members::listing::Update;
 use wb_members::steer::Card;
 use wb_route::RouteTable;
 use wb_types::id::InstanceName;
@@ -38,23 +37,14 @@
     pub what: String,
 }
 
-/// The whole list of backend servers.
+/// Rows of the list of backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct Servers {
-    /// Mark up to which it is complete.
+    /// Mark up to which they are complete.
     pub mark: Mark,
-    /// Entries that could be read.
-    pub entries: Vec<Entry>,
-    /// Entries that could not.
-    pub findings: Vec<Finding>,
-}
-
-/// Changes of the list of backend servers.
-#[derive(Clone, Debug, Default)]
-pub struct Changes {
-    /// The changes that could be read; an entry that could not counts as vanished.
-    pub update: Update,
-    /// Entries that could not be read.
+    /// The rows; one that could not be read has no entry.
+    pub rows: Vec<Change>,
+    /// What could not be read.
     pub findings: Vec<Finding>,
 }
 
@@ -78,7 +68,7 @@
     /// All backend servers.
     fn servers(&self) -> BoxFuture<'_, Result<Servers, Error>>;
     /// Waits for changes of the backend servers since a mark.
-    fn next_servers(&self, after: Mark, wait: Duration) -> BoxFuture<'_, Result<Changes, Error>>;
+    fn next_servers(&self, after: Mark, wait: Duration) -> BoxFuture<'_, Result<Servers, Error>>;
     /// Tells other instances of this one.
     fn join(&self, card: &Card) -> BoxFuture<'_, Result<(), Error>>;
     /// Instances that have joined and not left.
--- a/crates/wb-members/src/listing.rs
+++ b/crates/wb-members/src/listing.rs
@@ -2,32 +2,30 @@
 //!
 //! Entries also vanish because the platform was away and could not hear the servers. Such entries
 //! are kept until their servers had time to register again.
+//!
+//! Instances tell each other what changed. Each such update names the version that it follows on,
+//! so that one that was lost is noticed.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
-use wb_types::id::ServiceName;
 use wb_types::roster::Server;
 use wb_types::roster::Stay;
 
 /// Time after the platform's return in which servers register again: two seconds by its
 /// documentation, and some for the way.
 const RETURN: Duration = Duration::from_millis(2300);
-/// Longest time that a lapsed entry is kept without news of the platform.
+/// Longest time that a lapsed entry is kept while the platform stays away.
 const KEEP_MAX: Duration = Duration::from_secs(20);
 /// Time after a failed call in which a vanished entry counts as lapsed.
 const IMPAIRED: Duration = Duration::from_secs(3);
-/// Part of a service's entries that vanish together only if the platform lost them.
-const MASS: f64 = 0.5;
-/// Entries that must vanish together to be a mass.
-const MASS_LEAST: usize = 3;
 
-/// Version of the platform's rows up to which a list is complete.
+/// Version of the platform's rows.
 pub type Mark = u64;
 
 /// One entry.
@@ -42,208 +40,199 @@
     pub started: u64,
 }
 
-/// Changes between two marks.
+/// A row that was written or removed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// Name of the server.
+    pub name: ServerName,
+    /// Version of the row.
+    pub version: Mark,
+    /// Its entry; `None` if it vanished or names no server.
+    pub entry: Option<Entry>,
+}
+
+/// Part of the changes between two versions.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Update {
-    /// Mark that the changes follow on.
+    /// Version that the changes follow on.
     pub after: Mark,
-    /// Mark that they lead to.
+    /// Version that they lead to.
     pub upto: Mark,
-    /// Entries that are new or changed, and names of those that vanished.
-    pub changes: Vec<(ServerName, Option<Entry>)>,
+    /// Number of this part, from 0.
+    pub part: u32,
+    /// Parts of the update.
+    pub parts: u32,
+    /// The changes.
+    pub changes: Vec<Change>,
 }
 
 /// Why an entry is kept although it vanished.
 #[derive(Clone, Debug)]
 struct Lapse {
     until: Moment,
-    returned: bool,
+    version: Mark,
+}
+
+/// Parts of an update that have come.
+#[derive(Clone, Debug, Default)]
+struct Parts {
+    upto: Mark,
+    seen: BTreeSet<u32>,
 }
 
 /// The list.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
+    /// Version up to which the platform was read.
     mark: Option<Mark>,
+    /// Version of the last row that made a difference. It is the same on all instances that hold
+    /// the same list.
+    state: Mark,
     entries: BTreeMap<ServerName, Entry>,
     lapses: BTreeMap<ServerName, Lapse>,
     failed: Option<Moment>,
+    parts: Parts,
 }
 
 impl Listing {
-    /// Mark up to which the list is complete; `None` before the first.
+    /// Version up to which the platform was read; `None` before the first list.
     pub fn mark(&self) -> Option<Mark> {
         self.mark
     }
 
+    /// Version of the last row that made a difference; `None` before the first list.
+    pub fn state(&self) -> Option<Mark> {
+        self.mark.map(|_| self.state)
+    }
+
     /// All entries, those that are kept included.
     pub fn entries(&self) -> &BTreeMap<ServerName, Entry> {
         &self.entries
     }
 
-    /// Entries that are kept although they vanished.
-    pub fn lapsed(&self) -> usize {
-        self.lapses.len()
-    }
-
-    /// A call of the platform failed.
+    /// A call of the platform failed: entries may lapse.
     pub fn failed(&mut self, now: Moment) {
         self.failed = Some(now);
         for lapse in self.lapses.values_mut() {
-            if lapse.returned {
-                lapse.returned = false;
-                lapse.until = now + KEEP_MAX;
-            }
+            lapse.until = now + KEEP_MAX;
         }
     }
 
-    /// A call of the platform was answered.
+    /// A call of the platform was answered: servers register again from now on.
     pub fn answered(&mut self, now: Moment) {
-        for lapse in self.lapses.values_mut().filter(|lapse| !lapse.returned) {
-            lapse.returned = true;
+        for lapse in self.lapses.values_mut() {
             lapse.until = lapse.until.min(now + RETURN);
         }
     }
 
-    /// Takes the whole list. Returns what changed.
-    pub fn replace(
-        &mut self,
-        mark: Mark,
-        entries: Vec<Entry>,
-        now: Moment,
-    ) -> Vec<(ServerName, Option<Entry>)> {
-        let mut changes: Vec<(ServerName, Option<Entry>)> = Vec::new();
-        let fresh: BTreeMap<ServerName, Entry> = entries
-            .into_iter()
-            .map(|entry| (entry.server.name.clone(), entry))
+    /// Takes the whole list as the platform has it. Returns what changed.
+    pub fn replace(&mut self, mark: Mark, rows: Vec<Change>, now: Moment) -> Vec<Change> {
+        let known: BTreeSet<&ServerName> = rows.iter().map(|row| &row.name).collect();
+        let vanished = self.entries.keys().filter(|name| !known.contains(*name));
+        let mut changes: Vec<Change> = vanished
+            .map(|name| Change {
+                name: name.clone(),
+                version: mark,
+                entry: None,
+            })
             .collect();
-        for name in self
-            .entries
-            .keys()
-            .filter(|name| !fresh.contains_key(*name))
-        {
-            changes.push((name.clone(), None));
-        }
-        changes.extend(fresh.into_iter().map(|(name, entry)| (name, Some(entry))));
+        let newest = rows.iter().map(|row| row.version).max();
+        changes.extend(rows);
         self.mark = Some(mark);
-        self.take(changes, now)
+        let changed = self.take(changes, now);
+        self.state = self.state.max(newest.unwrap_or(0));
+        changed
     }
 
-    /// Takes changes that follow on the mark. Returns what changed, or `None` if changes between
-    /// are missing. Changes that are known already are passed over.
-    pub fn apply(
-        &mut self,
-        update: Update,
-        now: Moment,
-    ) -> Option<Vec<(ServerName, Option<Entry>)>> {
-        let mark = self.mark?;
-        if update.after > mark {
-            return None;
-        }
-        if update.upto < mark {
-            return Some(Vec::new());
-        }
-        self.mark = Some(update.upto);
-        Some(self.take(update.changes, now))
+    /// Takes changes that the platform told since the mark. Returns what made a difference.
+    pub fn apply(&mut self, mark: Mark, changes: Vec<Change>, now: Moment) -> Vec<Change> {
+        self.mark = self.mark.max(Some(mark));
+        self.take(changes, now)
     }
 
-    /// Takes changes that another instance has judged already.
-    pub fn follow(&mut self, update: Update) -> Option<Vec<(ServerName, Option<Entry>)>> {
-        let mark = self.mark?;
-        if update.after > mark {
+    /// Takes changes that another instance told. Returns what made a difference, or `None` if
+    /// changes before them are missing.
+    pub fn follow(&mut self, update: Update) -> Option<Vec<Change>> {
+        self.mark?;
+        if update.after > self.state {
             return None;
         }
-        if update.upto < mark {
+        if update.upto < self.state {
             return Some(Vec::new());
         }
-        self.mark = Some(update.upto);
         let mut changed = Vec::new();
-        for (name, entry) in update.changes {
-            self.lapses.remove(&name);
-            if self.put(&name, entry.clone()) {
-                changed.push((name, entry));
+        for change in update.changes {
+            self.lapses.remove(&change.name);
+            if self.put(&change) {
+                changed.push(change);
             }
         }
+        if self.parts.upto != update.upto {
+            self.parts = Parts {
+                upto: update.upto,
+                seen: BTreeSet::new(),
+            };
+        }
+        self.parts.seen.insert(update.part);
+        if self.parts.seen.len() >= update.parts as usize {
+            self.state = update.upto;
+        }
         Some(changed)
     }
 
-    fn take(
-        &mut self,
-        changes: Vec<(ServerName, Option<Entry>)>,
-        now: Moment,
-    ) -> Vec<(ServerName, Option<Entry>)> {
-        let impaired = self
-            .failed
-            .is_some_and(|at| now.saturating_sub(at) < IMPAIRED);
-        let mass = self.masses(&changes);
+    fn take(&mut self, changes: Vec<Change>, now: Moment) -> Vec<Change> {
+        let failed = self.failed;
+        let impaired = failed.is_some_and(|at| now.saturating_sub(at) < IMPAIRED);
         let mut changed = Vec::new();
-        for (name, entry) in changes {
-            if entry.is_none() && (impaired || self.is_of(&name, &mass)) && self.is_live(&name) {
-                let until = now + KEEP_MAX;
+        for change in changes {
+            if change.entry.is_none() && impaired && self.is_live(&change.name) {
+                // The platform has just been read, so that servers can reach it as well.
                 let lapse = Lapse {
-                    until,
-                    returned: false,
+                    until: now + RETURN,
+                    version: change.version,
                 };
-                self.lapses.entry(name).or_insert(lapse);
+                self.lapses.entry(change.name).or_insert(lapse);
                 continue;
             }
-            self.lapses.remove(&name);
-            if self.put(&name, entry.clone()) {
-                changed.push((name, entry));
+            self.lapses.remove(&change.name);
+            if self.put(&change) {
+                self.state = self.state.max(change.version);
+                changed.push(change);
             }
         }
         changed
     }
 
-    /// Services of which so many entries vanish together that the platform must have lost them.
-    fn masses(&self, changes: &[(ServerName, Option<Entry>)]) -> Vec<ServiceName> {
-        let mut lost: HashMap<&ServiceName, usize> = HashMap::new();
-        for (name, _) in changes.iter().filter(|(_, entry)| entry.is_none()) {
-            if let Some(entry) = self.entries.get(name).filter(|_| self.is_live(name)) {
-                *lost.entry(&entry.server.service).or_default() += 1;
-            }
-        }
-        let of = |service: &ServiceName| {
-            let all = self.entries.values();
-            all.filter(|entry| entry.server.service == *service).count()
-        };
-        lost.into_iter()
-            .filter(|(service, count)| {
-                *count >= MASS_LEAST && *count as f64 > of(service) as f64 * MASS
-            })
-            .map(|(service, _)| service.clone())
-            .collect()
-    }
-
-    fn is_of(&self, name: &str, services: &[ServiceName]) -> bool {
-        let entry = self.entries.get(name);
-        entry.is_some_and(|entry| services.contains(&entry.server.service))
-    }
-
     fn is_live(&self, name: &str) -> bool {
         let entry = self.entries.get(name);
         entry.is_some_and(|entry| entry.server.stay == Stay::Live)
     }
 
-    fn put(&mut self, name: &ServerName, entry: Option<Entry>) -> bool {
-        match entry {
-            Some(entry) => {
-                let old = self.entries.insert(name.clone(), entry.clone());
-                old.is_none_or(|old| old.server != entry.server || old.started != entry.started)
-            }
-            None => self.entries.remove(name).is_some(),
-        }
+    fn put(&mut self, change: &Change) -> bool {
+        let Some(entry) = &change.entry else {
+            return self.entries.remove(&change.name).is_some();
+        };
+        let old = self.entries.insert(change.name.clone(), entry.clone());
+        old.is_none_or(|old| old.server != entry.server || old.started != entry.started)
     }
 
-    /// Drops lapsed entries whose servers did not come back. Returns their names.
-    pub fn expire(&mut self, now: Moment) -> Vec<ServerName> {
-        let over = |lapse: &Lapse| now >= lapse.until;
-        let names = self.lapses.iter().filter(|(_, lapse)| over(lapse));
-        let names: Vec<ServerName> = names.map(|(name, _)| name.clone()).collect();
-        for name in &names {
-            self.lapses.remove(name);
-            self.entries.remove(name);
+    /// Drops lapsed entries whose servers did not come back. Returns what changed.
+    pub fn expire(&mut self, now: Moment) -> Vec<Change> {
+        let over = self.lapses.iter().filter(|(_, lapse)| now >= lapse.until);
+        let over: Vec<Change> = over
+            .map(|(name, lapse)| Change {
+                name: name.clone(),
+                version: lapse.version,
+                entry: None,
+            })
+            .collect();
+        for change in &over {
+            self.lapses.remove(&change.name);
+            self.entries.remove(&change.name);
+            self.state = self.state.max(change.version);
         }
-        names
+        over
     }
 }
