feat(balance): proven servers first, whole answers told among homes, trials only where a further send is allowed

Looked for: orders lost to servers that were cleared too early (one server was cleared four times in two seconds: two whole answers were too few).

--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -70,6 +70,17 @@
         turned.then(|| entry.change(evidence, turned))
     }
 
+    /// Takes whole answers that other instances got from servers that are not suspect.
+    pub fn hear_good(&mut self, servers: &[ServerName], now: Moment) {
+        for server in servers {
+            let key = self.names.get(server).copied();
+            let entry = key.and_then(|key| self.servers.get_mut(key));
+            if let Some(entry) = entry.filter(|entry| !entry.trust.is_suspect()) {
+                entry.trust.hear(Evidence::Good, now);
+            }
+        }
+    }
+
     fn learn(&mut self, key: ServerKey, route: &str, duration: Duration) {
         let seconds = duration.as_secs_f64();
         self.mean += (seconds - self.mean) * ROUTE_GAIN;
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -42,6 +42,8 @@
     pub route: wb_types::id::ServiceName,
     /// Whether running it again does no harm.
     pub idempotent: bool,
+    /// Servers to which it may still be sent, this one included.
+    pub sends: u32,
     /// Rank; 0 goes first.
     pub priority: u8,
     /// When it came.
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -21,6 +21,13 @@
 /// service times.
 const JITTER: f64 = 0.1;
 
+impl Ask {
+    /// Whether a failure costs the caller nothing: the request can be sent once more.
+    fn may_explore(&self) -> bool {
+        self.idempotent && self.tried.is_empty() && self.sends > 1
+    }
+}
+
 impl Balancer {
     /// A server for a request, if one is free. `desperate` lets it go to a suspect.
     pub(super) fn pick(&self, ask: &Ask, desperate: bool, now: Moment) -> Option<ServerKey> {
@@ -37,7 +44,7 @@
     /// The suspect whose trial is due longest, if the request may run again and has time for it.
     fn due(&self, ask: &Ask, now: Moment) -> Option<ServerKey> {
         let room = self.usual(&ask.route) * TRIAL_ROOM;
-        if !ask.idempotent || !ask.tried.is_empty() || now + room > ask.deadline {
+        if !ask.may_explore() || now + room > ask.deadline {
             return None;
         }
         self.servers
@@ -54,8 +61,7 @@
             if !free || now < entry.rest || !fits(entry) || ask.tried.contains(&key) {
                 continue;
             }
-            let explore = ask.idempotent && ask.tried.is_empty();
-            let cost = self.cost(entry, explore, now);
+            let cost = self.cost(entry, ask.may_explore(), now);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
@@ -81,6 +87,9 @@
             (age.as_secs_f64() * options.staleness).min(options.stale_max)
         });
         cost += if explore { -stale } else { stale };
+        if !explore {
+            cost += options.unproven / (1.0 + f64::from(entry.trust.streak()));
+        }
         cost + rand::rng().random_range(0.0..JITTER)
     }
 
--- a/crates/wb-balance/src/options.rs
+++ b/crates/wb-balance/src/options.rs
@@ -16,6 +16,9 @@
     pub staleness: f64,
     /// Bound on the cost of staleness, in service times.
     pub stale_max: f64,
+    /// Extra cost of a server without a whole answer since its last failure, in service times, for
+    /// work that must not repeat; it falls with each whole answer.
+    pub unproven: f64,
     /// Extra cost of a server at which all work is shed, in service times.
     pub shedding: f64,
     /// Requests that wait at most, per service.
@@ -28,9 +31,10 @@
     fn default() -> Self {
         Self {
             domain: String::new(),
-            distance: 0.15,
+            distance: 0.4,
             staleness: 0.3,
             stale_max: 1.0,
+            unproven: 0.8,
             shedding: 2.0,
             queue: 2000,
             patience: 0.3,
--- a/crates/wb-balance/src/trust.rs
+++ b/crates/wb-balance/src/trust.rs
@@ -14,8 +14,9 @@
 
 /// Score at which a server becomes suspect, in nats.
 const CONVICT: f64 = 4.0;
-/// Score of a suspect: two whole answers clear it.
-const SUSPECT: f64 = 3.6;
+/// Score of a suspect: three whole answers clear it. One that fails six in seven of its requests is
+/// cleared by chance in one of three hundred trials.
+const SUSPECT: f64 = 5.5;
 /// Weight of a connection cut, an answer spoilt or no connection, in nats: ln(0.5 / 0.003).
 const CUT: f64 = 5.0;
 /// Weight of a failure that sound servers have in one of a hundred requests, in nats, less the
@@ -31,7 +32,7 @@
 /// Growth of the wait from trial to trial.
 const GROWTH: f64 = 1.6;
 /// Longest wait between trials, within the two seconds in which a sound server should get work.
-const TRIAL_MAX: Duration = Duration::from_millis(1800);
+const TRIAL_MAX: Duration = Duration::from_millis(1200);
 
 /// What one request told of its server.
 #[derive(
@@ -91,6 +92,8 @@
     /// From the requests of other instances.
     told: Score,
     good: Option<Moment>,
+    /// Whole answers since the last failure.
+    streak: u32,
     failures: u32,
     trial: Moment,
     trying: bool,
@@ -102,6 +105,7 @@
     pub fn add(&mut self, evidence: Evidence, now: Moment) -> bool {
         let before = self.is_suspect();
         self.own.add(evidence);
+        self.count(evidence);
         if evidence == Evidence::Good {
             self.told.add(evidence);
             self.good = Some(now);
@@ -115,6 +119,7 @@
     pub fn hear(&mut self, evidence: Evidence, now: Moment) -> bool {
         let before = self.is_suspect();
         self.told.add(evidence);
+        self.count(evidence);
         if evidence == Evidence::Good && !self.own.suspect {
             self.good = Some(now);
         }
@@ -122,6 +127,13 @@
         before != self.is_suspect()
     }
 
+    fn count(&mut self, evidence: Evidence) {
+        self.streak = match evidence {
+            Evidence::Good => self.streak.saturating_add(1),
+            _ => 0,
+        };
+    }
+
     fn schedule(&mut self, evidence: Evidence, before: bool, now: Moment) {
         if !self.is_suspect() {
             self.failures = 0;
@@ -151,6 +163,11 @@
         self.good.map(|good| now.saturating_sub(good))
     }
 
+    /// Whole answers since the last failure.
+    pub fn streak(&self) -> u32 {
+        self.streak
+    }
+
     /// Whether a trial is due.
     pub fn is_due(&self, now: Moment) -> bool {
         self.is_suspect() && !self.trying && now >= self.trial
--- a/crates/wb-gateway/src/front/forward.rs
+++ b/crates/wb-gateway/src/front/forward.rs
@@ -119,6 +119,7 @@
         Ask {
             route: route.name.clone(),
             idempotent: route.repeat.is_idempotent(),
+            sends: route.attempts.saturating_sub(self.sends),
             priority: route.priority,
             arrived: self.intake.arrived,
             objective: route.objective,
--- a/crates/wb-gateway/src/front/slot.rs
+++ b/crates/wb-gateway/src/front/slot.rs
@@ -157,6 +157,9 @@
         };
         let route = &self.intake.route.name;
         let change = service.balancer.finish(self.grant.key, route, ending, now);
+        if matches!(ending, Ending::Good(_)) {
+            service.note_good(self.grant.server.name.clone());
+        }
         service.pump(now);
         let to = if change.is_some() {
             state.steering.everyone()
--- a/crates/wb-gateway/src/peers/beat.rs
+++ b/crates/wb-gateway/src/peers/beat.rs
@@ -1,10 +1,13 @@
 //! Beats, and the choice of homes that goes with them.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use wb_event::Event;
 use wb_event::line;
+use wb_types::id::ServerName;
+use wb_types::id::ServiceName;
 
 use super::Packet;
 use super::packet::Beat;
@@ -96,7 +99,13 @@
     let mut last = None;
     loop {
         tokio::time::sleep(RUNNING).await;
-        let state = context.state();
+        let mut state = context.state();
+        let good: HashMap<ServiceName, Vec<ServerName>> = state
+            .services
+            .iter_mut()
+            .map(|(name, service)| (name.clone(), service.take_good()))
+            .filter(|(_, servers)| !servers.is_empty())
+            .collect();
         if !state.steering.is_home() && last.is_none() {
             continue;
         }
@@ -105,13 +114,14 @@
             .map(|(name, service)| (name.clone(), service.balancer.running()))
             .filter(|(_, running)| !running.is_empty())
             .collect();
-        if last.as_ref() == Some(&running) {
+        if last.as_ref() == Some(&running) && good.is_empty() {
             continue;
         }
         let from = state.steering.own().name.clone();
         let packet = Packet::Running {
             from,
             running: running.clone(),
+            good,
         };
         context.tell(packet, state.steering.other_homes());
         last = Some(running);
--- a/crates/wb-gateway/src/peers/hear.rs
+++ b/crates/wb-gateway/src/peers/hear.rs
@@ -1,5 +1,6 @@
 //! Packets of other instances.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use wb_balance::Evidence;
@@ -21,7 +22,11 @@
 pub fn hear(context: &Context, packet: Packet, peer: SocketAddr) {
     match packet {
         Packet::Beat(beat) => hear_beat(context, *beat, peer),
-        Packet::Running { from, running } => hear_running(context, &from, &running),
+        Packet::Running {
+            from,
+            running,
+            good,
+        } => hear_running(context, &from, &running, &good),
         Packet::Learnt {
             from,
             service,
@@ -66,13 +71,21 @@
     beat::choose(context, &mut state);
 }
 
-fn hear_running(context: &Context, from: &InstanceName, running: &Running) {
+fn hear_running(
+    context: &Context,
+    from: &InstanceName,
+    running: &Running,
+    good: &HashMap<ServiceName, Vec<ServerName>>,
+) {
     let now = context.now();
     let mut state = context.state();
-    let none = std::collections::HashMap::new();
+    let none = HashMap::new();
     for (name, service) in &mut state.services {
         let counts = running.get(name).unwrap_or(&none);
         service.balancer.set_running(from, counts);
+        if let Some(servers) = good.get(name) {
+            service.balancer.hear_good(servers, now);
+        }
         service.pump(now);
     }
 }
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -31,6 +31,8 @@
         from: InstanceName,
         /// Counts.
         running: Running,
+        /// Servers that gave a whole answer since the last such packet.
+        good: HashMap<ServiceName, Vec<ServerName>>,
     },
     /// Evidence on a backend server.
     Learnt {
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -1,6 +1,7 @@
 //! Servers and waiting requests of one service.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use tokio::sync::oneshot;
@@ -12,6 +13,7 @@
 use wb_balance::RetryBudget;
 use wb_balance::WaitKey;
 use wb_types::id::Moment;
+use wb_types::id::ServerName;
 use wb_types::id::ServiceName;
 
 use crate::context::Context;
@@ -30,6 +32,8 @@
     /// Decisions.
     pub balancer: Balancer,
     waiters: HashMap<WaitKey, oneshot::Sender<Verdict>>,
+    /// Servers that gave a whole answer since others were told last.
+    good: HashSet<ServerName>,
 }
 
 impl Service {
@@ -47,9 +51,20 @@
         Self {
             balancer: Balancer::new(options, budget),
             waiters: HashMap::new(),
+            good: HashSet::new(),
         }
     }
 
+    /// Notes a server that gave a whole answer.
+    pub fn note_good(&mut self, server: ServerName) {
+        self.good.insert(server);
+    }
+
+    /// Servers that gave a whole answer since the last call.
+    pub fn take_good(&mut self) -> Vec<ServerName> {
+        self.good.drain().collect()
+    }
+
     /// Waits for the verdict on a waiting request.
     pub fn wait(&mut self, key: WaitKey) -> oneshot::Receiver<Verdict> {
         let (sender, receiver) = oneshot::channel();
