--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -9,6 +9,10 @@
 use super::Grant;
 use super::ServerKey;
 
+/// Share of requests that a suspect must answer to be given work that must not repeat.
+const SHARE_LEAST: f64 = 0.5;
+/// Extra cost of a server that answers nothing, in service times.
+const FAILURE_COST: f64 = 5.0;
 /// Usual durations that must be left for a trial, so that the request can be sent again.
 const TRIAL_ROOM: u32 = 3;
 /// Share of slots above which a server counts as nearly full.
@@ -38,7 +42,11 @@
         if sound.is_some() || !desperate {
             return sound;
         }
-        self.cheapest(ask, now, |entry| entry.trust.is_suspect())
+        // Work that must not repeat is better refused, and known not to have run, than likely lost.
+        let least = if ask.idempotent { 0.0 } else { SHARE_LEAST };
+        self.cheapest(ask, now, |entry| {
+            entry.trust.is_suspect() && entry.trust.share() >= least
+        })
     }
 
     /// The suspect whose trial is due longest, if the request may run again and has time for it.
@@ -75,6 +83,7 @@
         let options = &self.options;
         let full = f64::from(entry.load()) / f64::from(entry.server.slots.max(1));
         let mut cost = entry.pace + entry.trust.score() + entry.shed * options.shedding;
+        cost += (1.0 - entry.trust.share()) * FAILURE_COST;
         cost += (full - NEARLY_FULL).max(0.0) / (1.0 - NEARLY_FULL) * FULL_COST;
         if now < entry.cold {
             cost += COLD - 1.0;
--- a/crates/wb-balance/src/trust.rs
+++ b/crates/wb-balance/src/trust.rs
@@ -27,6 +27,10 @@
 /// Weight of a whole answer of a suspect, in nats: ln(0.15 / 0.99), for suspects mostly fail six
 /// in seven.
 const CLEARS: f64 = 1.9;
+/// Weight of the newest request in the share that a server answers.
+const SHARE_GAIN: f64 = 0.25;
+/// Share that a server is taken to answer once it is suspect, until trials tell.
+const SHARE_SUSPECT: f64 = 0.4;
 /// Wait before the first trial of a suspect.
 const TRIAL: Duration = Duration::from_millis(250);
 /// Growth of the wait from trial to trial.
@@ -45,7 +49,7 @@
     Good,
     /// The server answered that it failed.
     Failed,
-    /// No answer within the objective.
+    /// No answer within some usual durations.
     Overdue,
     /// The connection was cut, or the answer spoilt.
     Cut,
@@ -85,7 +89,7 @@
 }
 
 /// What is known of one server.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Trust {
     /// From this instance's own requests.
     own: Score,
@@ -94,11 +98,28 @@
     good: Option<Moment>,
     /// Whole answers since the last failure.
     streak: u32,
+    /// Share of requests that it answers, by the newest ones.
+    share: f64,
     failures: u32,
     trial: Moment,
     trying: bool,
 }
 
+impl Default for Trust {
+    fn default() -> Self {
+        Self {
+            own: Score::default(),
+            told: Score::default(),
+            good: None,
+            streak: 0,
+            share: 1.0,
+            failures: 0,
+            trial: Moment::ZERO,
+            trying: false,
+        }
+    }
+}
+
 impl Trust {
     /// Takes evidence from an own request. Returns whether the server became or ceased to be
     /// suspect.
@@ -132,6 +153,8 @@
             Evidence::Good => self.streak.saturating_add(1),
             _ => 0,
         };
+        let answered = f64::from(u8::from(evidence == Evidence::Good));
+        self.share += (answered - self.share) * SHARE_GAIN;
     }
 
     fn schedule(&mut self, evidence: Evidence, before: bool, now: Moment) {
@@ -143,6 +166,9 @@
             self.trial = now;
             return;
         }
+        if !before {
+            self.share = self.share.min(SHARE_SUSPECT);
+        }
         self.failures = if before { self.failures + 1 } else { 0 };
         let wait = TRIAL.mul_f64(GROWTH.powi(self.failures.min(8) as i32));
         self.trial = now + wait.min(TRIAL_MAX);
@@ -168,6 +194,11 @@
         self.streak
     }
 
+    /// Share of requests that it answers, by the newest ones.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
     /// Whether a trial is due.
     pub fn is_due(&self, now: Moment) -> bool {
         self.is_suspect() && !self.trying && now >= self.trial
--- a/crates/wb-gateway/src/front/attempt.rs
+++ b/crates/wb-gateway/src/front/attempt.rs
@@ -35,6 +35,12 @@
 /// can be asked for again. Some hundred of them fit into a small instance.
 const HOLD_MAX: u64 = 256 * 1024;
 
+/// A send counts against its server after this many usual durations; one in thirty takes longer at
+/// a sound server.
+const OVERDUE: u32 = 3;
+/// Shortest time after which a send counts against its server.
+const OVERDUE_MIN: Duration = Duration::from_millis(200);
+
 /// How a send ended.
 pub enum Outcome {
     /// A whole answer of the server, or one that is whole so far and goes on.
@@ -70,8 +76,7 @@
     };
     let address = slot.grant.server.address;
     let sending = context.pool.send(address, terms, request);
-    let due = intake.arrived + intake.route.objective;
-    let overdue = due.saturating_sub(begin).max(intake.route.objective / 2);
+    let overdue = overdue(&context, &intake);
     let whole = async {
         match sending.await {
             Ok(reply) => Ok(check(&context, &intake, reply).await),
@@ -115,6 +120,14 @@
     }
 }
 
+/// Time after which a send counts against its server.
+fn overdue(context: &Context, intake: &Intake) -> Duration {
+    let state = context.state();
+    let service = state.services.get(&intake.service);
+    let usual = service.map(|service| service.balancer.usual(&intake.route.name));
+    (usual.unwrap_or_default() * OVERDUE).max(OVERDUE_MIN)
+}
+
 fn build(
     context: &Context,
     intake: &Intake,
