--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -11,9 +11,11 @@
 use super::Refusal;
 use super::Waiter;
 
-/// Part of the retry allowance that is kept for work that must not repeat and for higher ranks:
-/// shed work of theirs has no other way to be served.
+/// Part of the retry allowance that is kept for work of higher rank.
 const KEEP: f64 = 0.3;
+/// Part of the retry allowance that is kept from second sends beside a slow one, which would
+/// mostly be answered anyway.
+const KEEP_HEDGE: f64 = 0.6;
 /// Shortest time until a refused request may come back.
 const AFTER_MIN: Duration = Duration::from_millis(200);
 /// Longest time until a refused request may come back.
@@ -23,12 +25,26 @@
     /// Decides on a request that came from a caller.
     pub fn offer(&mut self, ask: Ask, now: Moment) -> Offer {
         self.budget.earn(now);
+        self.urgent = self.urgent.min(ask.priority);
         self.decide(ask, now)
     }
 
     /// Decides on a request that a server has shed, or that may run again.
     pub fn again(&mut self, ask: Ask, now: Moment) -> Offer {
-        let keep = if ask.idempotent { KEEP } else { 0.0 };
+        let keep = if ask.priority > self.urgent {
+            KEEP
+        } else {
+            0.0
+        };
+        self.decide_within(keep, ask, now)
+    }
+
+    /// Decides on a second send beside one that takes long.
+    pub fn beside(&mut self, ask: Ask, now: Moment) -> Offer {
+        self.decide_within(KEEP_HEDGE, ask, now)
+    }
+
+    fn decide_within(&mut self, keep: f64, ask: Ask, now: Moment) -> Offer {
         if !self.budget.spend(keep, now) {
             return Self::refuse(Cause::RetryBudget, AFTER_MIN);
         }
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -10,7 +10,7 @@
 use super::ServerKey;
 
 /// Share of requests that a suspect must answer to be given work that must not repeat.
-const SHARE_LEAST: f64 = 0.5;
+const SHARE_LEAST: f64 = 0.6;
 /// Extra cost of a server that answers nothing, in service times.
 const FAILURE_COST: f64 = 5.0;
 /// Usual durations that must be left for a trial, so that the request can be sent again.
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -39,6 +39,7 @@
             usual: HashMap::new(),
             mean: UNKNOWN,
             part: 1.0,
+            urgent: u8::MAX,
             budget,
         }
     }
--- a/crates/wb-gateway/src/front/forward.rs
+++ b/crates/wb-gateway/src/front/forward.rs
@@ -86,7 +86,7 @@
             () = tokio::time::sleep(hedge), if !hedged => {
                 hedged = true;
                 // Without room for a second send the first one goes on alone.
-                let _ = course.send(Turn::Again).await;
+                let _ = course.send(Turn::Beside).await;
                 continue;
             }
         };
--- a/crates/wb-gateway/src/front/slot.rs
+++ b/crates/wb-gateway/src/front/slot.rs
@@ -35,6 +35,8 @@
     First,
     /// A server has shed it, or it runs again.
     Again,
+    /// It goes to a second server while the first takes long.
+    Beside,
     /// No byte of it was handed over.
     Unsent,
 }
@@ -73,6 +75,7 @@
         let offer = match turn {
             Turn::First => service.balancer.offer(ask, now),
             Turn::Again => service.balancer.again(ask, now),
+            Turn::Beside => service.balancer.beside(ask, now),
             Turn::Unsent => service.balancer.elsewhere(ask, now),
         };
         let wait = match &offer {
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -22,7 +22,7 @@
 
 /// Part of the fleet's retry allowance that is used; the rest is for windows that the fleet counts
 /// otherwise than this instance.
-const RETRY_PART: f64 = 0.8;
+const RETRY_PART: f64 = 0.9;
 
 /// What a waiting request hears.
 pub type Verdict = Result<Box<Grant>, Refusal>;
@@ -138,7 +138,8 @@
     /// Part of the fleet's work that this instance carries.
     pub fn part(&self) -> f64 {
         if !self.steering.is_home() {
-            return STRAY;
+            let strays = self.steering.cards().len() - self.steering.homes().len();
+            return STRAYS / strays.max(1) as f64;
         }
         let homes = self.steering.homes().len().max(1);
         (1.0 - STRAYS) / homes as f64
@@ -155,8 +156,6 @@
 
 /// Part of the fleet's work that all instances together carry that are no homes: callers with old
 /// answers.
-const STRAYS: f64 = 0.2;
-/// Part of it that one of them carries; a fleet has some dozens of them.
-const STRAY: f64 = 0.006;
+const STRAYS: f64 = 0.1;
 /// Connections that a server is taken to accept before the routes tell.
 const CONNECTIONS: u32 = 64;
