--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -19,6 +19,8 @@
 const NEARLY_FULL: f64 = 0.5;
 /// Extra cost of a full server against a half empty one, in service times.
 const FULL_COST: f64 = 1.2;
+/// Extra cost of a full server against an idle one, in service times.
+const LOAD_COST: f64 = 0.4;
 /// How much slower than usual a cold server is taken to be.
 const COLD: f64 = 2.0;
 /// Bound of the random part of the cost, so that instances don't all choose the same server, in
@@ -85,6 +87,7 @@
         let mut cost = entry.pace + entry.trust.score() + entry.shed * options.shedding;
         cost += (1.0 - entry.trust.share()) * FAILURE_COST;
         cost += (full - NEARLY_FULL).max(0.0) / (1.0 - NEARLY_FULL) * FULL_COST;
+        cost += full * LOAD_COST;
         if now < entry.cold {
             cost += COLD - 1.0;
         }
@@ -95,8 +98,12 @@
         let stale = age.map_or(options.stale_max, |age| {
             (age.as_secs_f64() * options.staleness).min(options.stale_max)
         });
-        cost += if explore { -stale } else { stale };
-        if !explore {
+        if explore {
+            // A request that runs there finds out already.
+            let known = entry.load() > 0;
+            cost -= if known { 0.0 } else { stale };
+        } else {
+            cost += stale;
             cost += options.unproven / (1.0 + f64::from(entry.trust.streak()));
         }
         cost + rand::rng().random_range(0.0..JITTER)
--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -37,9 +37,9 @@
             tokio::time::sleep(GATHER).await;
             continue;
         }
+        let begin = context.now();
         let result = ask(&context).await;
         watch.note(&context, &result);
-        let now = context.now();
         match result {
             Ok(()) => {
                 backoff.reset();
@@ -47,7 +47,7 @@
             }
             Err(Error::Forgotten) => reread(&context).await,
             Err(_) => {
-                context.state().listing.failed(now);
+                context.state().listing.failed(begin, context.now());
                 backoff.wait().await;
             }
         }
@@ -70,13 +70,14 @@
 }
 
 async fn reread(context: &Context) {
+    let begin = context.now();
     if let Err(err) = read(context).await {
         line!(
             Event::PlatformDown,
             call = "servers",
             error = err.to_string()
         );
-        context.state().listing.failed(context.now());
+        context.state().listing.failed(begin, context.now());
     }
 }
 
--- a/crates/wb-members/src/listing.rs
+++ b/crates/wb-members/src/listing.rs
@@ -22,7 +22,8 @@
 const RETURN: Duration = Duration::from_millis(2300);
 /// Longest time that a lapsed entry is kept while the platform stays away.
 const KEEP_MAX: Duration = Duration::from_secs(20);
-/// Time after a failed call in which a vanished entry counts as lapsed.
+/// Time after the begin of a failed call in which a vanished entry counts as lapsed. A failure may
+/// show only long after the platform is back, so that its own moment says little.
 const IMPAIRED: Duration = Duration::from_secs(3);
 
 /// Version of the platform's rows.
@@ -112,9 +113,9 @@
         &self.entries
     }
 
-    /// A call of the platform failed: entries may lapse.
-    pub fn failed(&mut self, now: Moment) {
-        self.failed = Some(now);
+    /// A call of the platform that began at `begin` failed: entries may lapse.
+    pub fn failed(&mut self, begin: Moment, now: Moment) {
+        self.failed = self.failed.max(Some(begin));
         for lapse in self.lapses.values_mut() {
             lapse.until = now + KEEP_MAX;
         }
--- a/crates/wb-members/tests/listing.rs
+++ b/crates/wb-members/tests/listing.rs
@@ -82,7 +82,7 @@
 #[test]
 fn an_entry_that_lapsed_in_an_outage_is_kept_until_its_server_is_back() {
     let mut listing = listing(&["s1", "s2"]);
-    listing.failed(at(5000));
+    listing.failed(at(5000), at(5000));
     listing.answered(at(5500));
     listing.apply(11, vec![gone(11, "s1")], at(5500));
     assert!(holds(&listing, "s1"));
@@ -94,7 +94,7 @@
 #[test]
 fn an_entry_that_lapsed_and_does_not_come_back_is_gone() {
     let mut listing = listing(&["s1", "s2"]);
-    listing.failed(at(5000));
+    listing.failed(at(5000), at(5000));
     listing.answered(at(5500));
     listing.apply(11, vec![gone(11, "s1")], at(5500));
     assert!(
@@ -109,7 +109,7 @@
 #[test]
 fn an_instance_that_was_cut_off_drops_servers_that_left_meanwhile_without_a_further_answer() {
     let mut listing = listing(&["s1", "s2"]);
-    listing.failed(at(12_000));
+    listing.failed(at(12_000), at(12_000));
     listing.answered(at(13_000));
     listing.replace(90, vec![row(10, "s2")], at(13_000));
     let names = listing.expire(at(13_000) + RETURN_MAX);
@@ -120,13 +120,22 @@
     );
 }
 
+#[test]
+fn a_failure_that_showed_late_makes_no_later_removal_a_lapse() {
+    let mut listing = listing(&["s1", "s2"]);
+    listing.failed(at(9500), at(12_200));
+    listing.answered(at(12_400));
+    listing.apply(11, vec![gone(11, "s1")], at(15_100));
+    assert!(!holds(&listing, "s1"));
+}
+
 #[test]
 fn a_lapsed_entry_is_kept_while_the_platform_is_away_again() {
     let mut listing = listing(&["s1", "s2"]);
-    listing.failed(at(5000));
+    listing.failed(at(5000), at(5000));
     listing.answered(at(5500));
     listing.apply(11, vec![gone(11, "s1")], at(5500));
-    listing.failed(at(6000));
+    listing.failed(at(6000), at(6000));
     assert!(listing.expire(at(9000)).is_empty());
     listing.answered(at(9500));
     assert!(listing.expire(at(11_000)).is_empty());
@@ -140,7 +149,7 @@
     let entry = leaving.entry.as_mut().expect("it has an entry");
     entry.server.stay = Stay::Leaving;
     listing.apply(11, vec![leaving], at(1000));
-    listing.failed(at(2000));
+    listing.failed(at(2000), at(2000));
     listing.apply(12, vec![gone(12, "s1")], at(2500));
     assert!(!holds(&listing, "s1"));
 }
