--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -64,6 +64,10 @@
         if !left {
             return Self::refuse(Cause::NoServer, AFTER_MIN);
         }
+        // A trial takes no slot that those who wait could have.
+        if let Some(key) = self.due(&ask, now) {
+            return Offer::Go(self.grant(key, now));
+        }
         let ahead = self.ahead(&ask);
         if ahead == 0
             && let Some(key) = self.pick(&ask, self.is_desperate(&ask, now, now), now)
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -52,7 +52,7 @@
     }
 
     /// The suspect whose trial is due longest, if the request may run again and has time for it.
-    fn due(&self, ask: &Ask, now: Moment) -> Option<ServerKey> {
+    pub(super) fn due(&self, ask: &Ask, now: Moment) -> Option<ServerKey> {
         let room = self.usual(&ask.route) * TRIAL_ROOM;
         if !ask.may_explore() || now + room > ask.deadline {
             return None;
--- a/crates/wb-balance/src/retry.rs
+++ b/crates/wb-balance/src/retry.rs
@@ -46,43 +46,76 @@
 
     /// Counts a request.
     pub fn earn(&mut self, now: Moment) {
+        self.forget(now);
         self.step(now).requests += 1.0;
     }
 
-    /// Takes a further send, if the window has room for it and more than `keep` of the allowance
-    /// is left.
+    /// Takes a further send, if every window that holds this moment has room for it and more than
+    /// the part `keep` of its allowance is left.
     pub fn spend(&mut self, keep: f64, now: Moment) -> bool {
-        let spent: f64 = self.steps(now).map(|step| step.spent).sum();
-        let allowed = self.allowance(now);
-        if spent + 1.0 > allowed * (1.0 - keep) {
+        self.forget(now);
+        self.step(now);
+        let full = |begin| self.spent(begin) + 1.0 > self.allowance(begin) * (1.0 - keep);
+        if self.open(now).any(full) {
             return false;
         }
         self.step(now).spent += 1.0;
         true
     }
 
-    /// Counts a further send that was made anyway.
-    pub fn force(&mut self, now: Moment) {
-        self.step(now).spent += 1.0;
-    }
-
     /// Further sends that are left.
     pub fn left(&mut self, now: Moment) -> f64 {
-        let spent: f64 = self.steps(now).map(|step| step.spent).sum();
-        self.allowance(now) - spent
+        self.forget(now);
+        let open = self.open(now);
+        let left = open.map(|begin| self.allowance(begin) - self.spent(begin));
+        left.fold(self.reserve, f64::min)
+    }
+
+    /// Begins of the windows that hold a moment. Each is taken to be a step longer than it is,
+    /// since windows begin within steps too.
+    fn open(&self, now: Moment) -> impl Iterator<Item = Moment> {
+        let longest = self.window + self.window / STEPS;
+        let begins = self.steps.iter().map(|step| step.begin);
+        begins.filter(move |begin| *begin + longest > now)
+    }
+
+    /// Further sends since a moment.
+    fn spent(&self, begin: Moment) -> f64 {
+        let steps = self.steps.iter().filter(|step| step.begin >= begin);
+        steps.map(|step| step.spent).sum()
+    }
+
+    /// Further sends that any window allows that begins in the step that begins at a moment.
+    fn allowance(&self, begin: Moment) -> f64 {
+        let end = begin + self.window / STEPS;
+        self.allowance_from(begin).min(self.allowance_from(end))
+    }
+
+    /// Further sends that the window from a moment on allows: its users count the requests of
+    /// that window, of the one before it, or of the one half a window before it, whichever are
+    /// most.
+    fn allowance_from(&self, begin: Moment) -> f64 {
+        let before = begin.saturating_sub(self.window);
+        let half = begin.saturating_sub(self.window / 2);
+        let most = [begin, before, half].map(|from| self.requests(from));
+        self.ratio * most.into_iter().fold(0.0, f64::max) + self.reserve
     }
 
-    fn allowance(&mut self, now: Moment) -> f64 {
-        let requests: f64 = self.steps(now).map(|step| step.requests).sum();
-        self.ratio * requests + self.reserve
+    /// Requests in the window from a moment on.
+    fn requests(&self, from: Moment) -> f64 {
+        let within = |step: &&Step| step.begin >= from && step.begin < from + self.window;
+        self.steps
+            .iter()
+            .filter(within)
+            .map(|step| step.requests)
+            .sum()
     }
 
-    fn steps(&mut self, now: Moment) -> impl Iterator<Item = &Step> {
-        let begin = now.saturating_sub(self.window);
-        while self.steps.front().is_some_and(|step| step.begin < begin) {
+    fn forget(&mut self, now: Moment) {
+        let old = now.saturating_sub(self.window * 2);
+        while self.steps.front().is_some_and(|step| step.begin < old) {
             self.steps.pop_front();
         }
-        self.steps.iter()
     }
 
     fn step(&mut self, now: Moment) -> &mut Step {
--- /dev/null
+++ b/crates/wb-balance/tests/choice.rs
@@ -0,0 +1,165 @@
+//! Which server a request goes to.
+
+mod support;
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use support::ask;
+use support::at;
+use support::cut_one;
+use support::go;
+use support::listed;
+use support::prove;
+use support::service;
+use wb_balance::Ending;
+use wb_balance::Evidence;
+use wb_balance::Offer;
+use wb_balance::balancer::Cause;
+use wb_types::roster::Stay;
+
+#[test]
+fn orders_do_not_go_to_a_suspect_while_another_has_room() {
+    let mut balancer = service(3, 6);
+    prove(&mut balancer, 3, at(0));
+    let sick = cut_one(&mut balancer, at(10));
+    for _ in 0..12 {
+        let grant = go(balancer.offer(ask(false, at(20)), at(20)));
+        assert_ne!(*grant.server.name, *sick);
+    }
+}
+
+#[test]
+fn idempotent_work_tries_a_suspect_when_its_trial_is_due() {
+    let mut balancer = service(3, 6);
+    prove(&mut balancer, 3, at(0));
+    let sick = cut_one(&mut balancer, at(10));
+    let grant = go(balancer.offer(ask(true, at(600)), at(600)));
+    assert_eq!(*grant.server.name, *sick);
+    assert!(grant.trial);
+    let next = go(balancer.offer(ask(true, at(600)), at(600)));
+    assert_ne!(*next.server.name, *sick, "one trial at a time");
+}
+
+#[test]
+fn a_request_that_may_be_sent_once_only_tries_nothing() {
+    let mut balancer = service(3, 6);
+    prove(&mut balancer, 3, at(0));
+    let sick = cut_one(&mut balancer, at(10));
+    let mut once = ask(true, at(600));
+    once.sends = 1;
+    let grant = go(balancer.offer(once, at(600)));
+    assert_ne!(*grant.server.name, *sick);
+}
+
+#[test]
+fn a_second_send_tries_nothing_and_goes_to_another_server() {
+    let mut balancer = service(3, 6);
+    prove(&mut balancer, 3, at(0));
+    let sick = cut_one(&mut balancer, at(10));
+    let first = go(balancer.offer(ask(true, at(600)), at(600)));
+    balancer.finish(first.key, "orders", Ending::Bad(Evidence::Cut), at(601));
+    let mut again = ask(true, at(600));
+    again.tried = vec![first.key];
+    let second = go(balancer.again(again, at(601)));
+    assert_ne!(second.key, first.key);
+    assert_ne!(*second.server.name, *sick);
+}
+
+#[test]
+fn idle_servers_are_visited_in_turn_by_idempotent_work() {
+    let mut balancer = service(20, 6);
+    let mut seen = HashSet::new();
+    for _ in 0..20 {
+        let grant = go(balancer.offer(ask(true, at(0)), at(0)));
+        seen.insert(grant.server.name.to_string());
+    }
+    assert_eq!(seen.len(), 20);
+}
+
+#[test]
+fn servers_that_shed_are_left_alone_for_a_moment_and_not_convicted() {
+    let mut balancer = service(2, 6);
+    prove(&mut balancer, 2, at(0));
+    let first = go(balancer.offer(ask(false, at(10)), at(10)));
+    balancer.finish(first.key, "orders", Ending::Shed, at(11));
+    let second = go(balancer.offer(ask(false, at(12)), at(12)));
+    assert_ne!(second.key, first.key);
+    assert_eq!(balancer.suspects(), 0);
+}
+
+#[test]
+fn an_address_that_another_server_has_gets_nothing_more() {
+    let mut balancer = service(2, 6);
+    let first = go(balancer.offer(ask(false, at(0)), at(0)));
+    balancer.finish(first.key, "orders", Ending::Misdirected, at(1));
+    for _ in 0..6 {
+        let grant = go(balancer.offer(ask(false, at(2)), at(2)));
+        assert_ne!(grant.key, first.key);
+    }
+}
+
+#[test]
+fn leaving_and_vanished_servers_get_nothing_more() {
+    let mut balancer = service(3, 6);
+    let mut leaving = listed("s0", "a", 6);
+    leaving.server.stay = Stay::Leaving;
+    balancer.update(&[leaving, listed("s1", "a", 6)], at(1));
+    for _ in 0..6 {
+        let grant = go(balancer.offer(ask(false, at(2)), at(2)));
+        assert_eq!(&*grant.server.name, "s1");
+    }
+}
+
+#[test]
+fn what_others_have_running_takes_slots() {
+    let mut balancer = service(1, 2);
+    let counts = HashMap::from([("s0".into(), 2)]);
+    balancer.set_running(&"other".into(), &counts);
+    assert_matches!(balancer.offer(ask(false, at(0)), at(0)), Offer::Wait(_));
+    balancer.forget("other");
+    assert_eq!(balancer.pump(at(1)).len(), 1);
+}
+
+#[test]
+fn a_nearer_server_is_preferred_while_it_has_room() {
+    let mut balancer = service(1, 6);
+    balancer.update(&[listed("near", "a", 6), listed("far", "b", 6)], at(0));
+    prove(&mut balancer, 2, at(0));
+    let grant = go(balancer.offer(ask(false, at(1)), at(1)));
+    assert_eq!(&*grant.server.name, "near");
+}
+
+#[test]
+fn a_server_started_anew_at_another_address_is_not_judged_by_its_past() {
+    let mut balancer = service(1, 6);
+    let sick = cut_one(&mut balancer, at(0));
+    assert_eq!(balancer.suspects(), 1);
+    let mut moved = listed(&sick, "a", 6);
+    moved.server.address = "10.0.0.2:80".parse().expect("an address");
+    balancer.update(&[moved], at(1));
+    assert_eq!(balancer.suspects(), 0);
+}
+
+#[test]
+fn without_servers_a_request_is_refused_at_once() {
+    let mut balancer = service(0, 6);
+    let offer = balancer.offer(ask(false, at(0)), at(0));
+    assert_matches!(offer, Offer::Refuse(refusal) if refusal.cause == Cause::NoServer);
+}
+
+#[test]
+fn with_suspects_alone_an_order_waits_for_one_that_proves_itself() {
+    let mut balancer = service(1, 6);
+    cut_one(&mut balancer, at(0));
+    assert_matches!(balancer.offer(ask(false, at(1)), at(1)), Offer::Wait(_));
+    for step in 0..3 {
+        let now = at(500 + step * 100);
+        let grant = go(balancer.offer(ask(true, now), now));
+        let took = Duration::from_millis(50);
+        balancer.finish(grant.key, "orders", Ending::Good(took), now);
+    }
+    assert_eq!(balancer.pump(at(900)).len(), 1);
+}
