--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -17,6 +17,11 @@
         self.running + self.others.values().sum::<u32>()
     }
 
+    /// Whether it gets any work, not trials only.
+    pub(super) fn is_sound(&self) -> bool {
+        self.is_usable() && !self.trust.is_suspect()
+    }
+
     /// Whether it may get work at all.
     pub(super) fn is_usable(&self) -> bool {
         self.server.stay == Stay::Live && !self.misplaced
@@ -67,7 +72,7 @@
     pub(super) fn sound_slots(&self) -> u32 {
         let usable = || self.servers.values().filter(|entry| entry.is_usable());
         let sound: u32 = usable()
-            .filter(|entry| !entry.trust.is_suspect())
+            .filter(|entry| entry.is_sound())
             .map(|entry| entry.server.slots)
             .sum();
         if sound > 0 {
--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -18,6 +18,8 @@
 const PACE_GAIN: f64 = 0.2;
 /// Bounds on one duration against the usual, so that a straggler does not mark its server.
 const PACE_MAX: f64 = 4.0;
+/// Weight of the newest send in the share of sends that fail: about a second at a busy home.
+const FAILING_GAIN: f64 = 0.01;
 /// Weight of the newest send in the share that a server sheds.
 const SHED_GAIN: f64 = 0.2;
 /// Time without new work for a server that just shed.
@@ -36,6 +38,10 @@
             self.learn(key, route, duration);
         }
         let entry = self.servers.get_mut(key)?;
+        if !entry.trust.is_suspect() {
+            let failed = f64::from(u8::from(matches!(ending, Ending::Bad(_))));
+            self.failing += (failed - self.failing) * FAILING_GAIN;
+        }
         entry.running = entry.running.saturating_sub(1);
         entry.trust.set_trying(false);
         match ending {
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -187,6 +187,8 @@
     mean: f64,
     /// Part of the fleet's work on this service that this instance carries.
     part: f64,
+    /// Share of sends to servers in use that failed of late.
+    failing: f64,
     /// Highest rank of any request so far; 0 is the highest of all.
     urgent: u8,
     budget: RetryBudget,
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -102,7 +102,7 @@
     /// Whether a request may go to a suspect: no server is sound, or it has waited for long.
     pub(super) fn is_desperate(&self, ask: &Ask, since: Moment, now: Moment) -> bool {
         let patience = ask.objective.mul_f64(self.options.patience);
-        let sound = |entry: &super::Entry| entry.is_usable() && !entry.trust.is_suspect();
-        now.saturating_sub(since) >= patience || !self.servers.values().any(sound)
+        let sound = self.servers.values().any(super::Entry::is_sound);
+        now.saturating_sub(since) >= patience || !sound
     }
 }
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -13,6 +13,11 @@
 const SHARE_LEAST: f64 = 0.6;
 /// Extra cost of a server that answers nothing, in service times.
 const FAILURE_COST: f64 = 5.0;
+/// Share of failed sends up to which failures are rare.
+const RARE: f64 = 0.05;
+/// Share of failed sends from which failures are common; the floor of servers in use is counted
+/// from a tenth on.
+const COMMON: f64 = 0.09;
 /// Usual durations that must be left for a trial, so that the request can be sent again.
 const TRIAL_ROOM: u32 = 3;
 /// Share of slots above which a server counts as nearly full.
@@ -45,7 +50,13 @@
             return sound;
         }
         // Work that must not repeat is better refused, and known not to have run, than likely lost.
-        let least = if ask.idempotent { 0.0 } else { SHARE_LEAST };
+        // Where all are suspect, the fault is likely one that all share, and waiting helps nobody.
+        let sound = self.servers.values().any(Entry::is_sound);
+        let least = if ask.idempotent || !sound {
+            0.0
+        } else {
+            SHARE_LEAST
+        };
         self.cheapest(ask, now, |entry| {
             entry.trust.is_suspect() && entry.trust.share() >= least
         })
@@ -103,12 +114,19 @@
             let known = entry.load() > 0;
             cost -= if known { 0.0 } else { stale };
         } else {
-            cost += stale;
-            cost += options.unproven / (1.0 + f64::from(entry.trust.streak()));
+            cost += stale * self.caution();
+            cost += self.caution() * options.unproven / (1.0 + f64::from(entry.trust.streak()));
         }
         cost + rand::rng().random_range(0.0..JITTER)
     }
 
+    /// Weight of what was heard last of a server, 0 to 1. Few failures come from servers that have
+    /// just turned, which those that answered a moment ago have not. Where failures are common,
+    /// that tells little, and work that crowds on few servers leaves sound ones idle.
+    fn caution(&self) -> f64 {
+        ((COMMON - self.failing) / (COMMON - RARE)).clamp(0.0, 1.0)
+    }
+
     /// Takes a slot.
     pub(super) fn grant(&mut self, key: ServerKey, now: Moment) -> Box<Grant> {
         let entry = &mut self.servers[key];
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -16,6 +16,8 @@
 use crate::RetryBudget;
 use crate::Trust;
 
+/// Share of sends that fail before any was seen: nothing is known of any server.
+const FAILING: f64 = 0.15;
 /// Duration of a request before any was seen, in seconds.
 const UNKNOWN: f64 = 0.3;
 
@@ -39,6 +41,7 @@
             usual: HashMap::new(),
             mean: UNKNOWN,
             part: 1.0,
+            failing: FAILING,
             urgent: u8::MAX,
             budget,
         }
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -68,6 +68,7 @@
     pub waiting: Notify,
     state: Mutex<State>,
     leaving: AtomicBool,
+    closing: AtomicBool,
     serial: AtomicU64,
     start: Instant,
 }
@@ -115,6 +116,7 @@
             waiting: Notify::new(),
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             serial: AtomicU64::new(rand::random()),
             start: Instant::now(),
         }
@@ -140,6 +142,16 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Whether no new request is taken any more.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    /// Takes no new request from now on.
+    pub fn set_closing(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
     /// Number of the next request.
     pub fn serial(&self) -> u64 {
         self.serial.fetch_add(1, Ordering::Relaxed)
--- a/crates/wb-gateway/src/follow/mod.rs
+++ b/crates/wb-gateway/src/follow/mod.rs
@@ -54,6 +54,8 @@
         }
         if !failed && self.down {
             line!(Event::PlatformUp, call = self.call);
+            // A long question that was asked meanwhile may never be answered.
+            context.routes_due.notify_one();
         }
         self.down = failed;
     }
--- a/crates/wb-gateway/src/front/intake.rs
+++ b/crates/wb-gateway/src/front/intake.rs
@@ -32,10 +32,21 @@
             after: None,
         }
     }
+
+    /// A refusal of a request that was not run and may come back.
+    pub fn later(reason: &'static str, after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            after: Some(after),
+        }
+    }
 }
 
 /// Time until a caller is told to come back while the routes are not known yet.
 const NO_ROUTES: Duration = Duration::from_millis(500);
+/// Time until a caller is told to come back, to another instance, while this one ends.
+const LEAVING: Duration = Duration::from_millis(200);
 
 /// A request with its route and its time.
 #[derive(Debug)]
@@ -66,11 +77,12 @@
     /// A [`Rejection`] if it has no route, or breaks the bounds on callers.
     pub fn read(context: &Context, head: Parts) -> Result<Self, Rejection> {
         let arrived = context.now();
+        if context.is_closing() {
+            return Err(Rejection::later("leaving", LEAVING));
+        }
         let routes = context.state().routes.clone();
         let Some(routes) = routes else {
-            let mut rejection = Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "no_routes");
-            rejection.after = Some(NO_ROUTES);
-            return Err(rejection);
+            return Err(Rejection::later("no_routes", NO_ROUTES));
         };
         if size(&head.headers) > routes.limits.head {
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
--- a/crates/wb-gateway/src/leave.rs
+++ b/crates/wb-gateway/src/leave.rs
@@ -9,9 +9,9 @@
 use crate::Daemon;
 use crate::peers::Packet;
 
-/// Part of the grace for which callers that keep an old answer are still served on new
-/// connections. Their requests have the rest of it to end.
-const SERVE: f64 = 0.55;
+/// Part of the grace for which callers that keep an old answer are still served. Their requests
+/// have the rest of it to end; later ones are refused, which tells their callers to go elsewhere.
+const SERVE: f64 = 0.45;
 /// Part of the grace at which the daemon ends whatever is still running.
 const CUT: f64 = 0.96;
 /// Longest wait for the platform to take the instance out.
@@ -31,6 +31,7 @@
         line!(Event::PlatformDown, call = "leave", error = err.to_string());
     }
     tokio::time::sleep_until(begin + grace.mul_f64(SERVE)).await;
+    context.set_closing();
     let end = begin + grace.mul_f64(CUT);
     if tokio::time::timeout_at(end, daemon.finish()).await.is_err() {
         line!(Event::Cut, active = context.metrics.active.get());
--- a/crates/wb-http/src/pool/connect.rs
+++ b/crates/wb-http/src/pool/connect.rs
@@ -19,6 +19,8 @@
 /// Time after which a connection that was unused for this long is not taken for work that must
 /// not be repeated.
 const FRESH: Duration = Duration::from_secs(2);
+/// Shortest interval of keep-alive probes; the system counts whole seconds.
+const KEEPALIVE_MIN: Duration = Duration::from_secs(1);
 /// Largest head of an answer, in bytes.
 const HEAD_MAX: usize = 64 * 1024;
 
@@ -90,7 +92,7 @@
     socket.set_tcp_user_timeout(Some(silence))?;
     let keepalive = TcpKeepalive::new()
         .with_time(silence)
-        .with_interval(silence / 4)
+        .with_interval((silence / 4).max(KEEPALIVE_MIN))
         .with_retries(3);
     socket.set_tcp_keepalive(&keepalive)
 }
--- /dev/null
+++ b/crates/wb-stand/src/published/site.rs
@@ -0,0 +1,76 @@
+//! Settings files, configurations and rows as the platform writes them.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use serde_json::json;
+
+/// First port for traffic between instances.
+const INTERNAL: u16 = 7660;
+/// Port for callers.
+pub const FRONT: u16 = 8144;
+/// Port of the question whether an instance is ready.
+pub const READY: u16 = 8140;
+/// Port of the directory.
+pub const DIRECTORY: u16 = 8143;
+
+/// A settings file.
+pub fn settings(name: &str, ip: IpAddr, zone: &str, store: SocketAddr) -> Value {
+    let at = |port: u16| SocketAddr::new(ip, port).to_string();
+    json!({
+        "node_name": name,
+        "role": "gateway",
+        "machine_class": "front",
+        "ip": ip.to_string(),
+        "zone": zone,
+        "region": "region",
+        "listen": {"front": at(FRONT), "ready": at(READY), "directory": at(DIRECTORY)},
+        "internal_ports": [INTERNAL, INTERNAL + 15],
+        "seeds": [],
+        "limits": {"cpu_share": 0.2, "cores": 1, "memory_mb": 260, "max_fds": 4100},
+        "bounds": ["grace_s=6", "retry_budget_ratio=0.2", "budget_window_s=10",
+            "budget_extra=56", "ttl_max_s=5"],
+        "platform": {"address": store.to_string(), "form": "table"},
+        "a_field_to_come": {"ignored": true},
+    })
+}
+
+/// A configuration with a route of each kind on one host. `extra` adds so many routes.
+pub fn config(version: u64, extra: usize) -> Value {
+    let route = |prefix: &str, kind: &str, service: &str| {
+        json!({
+            "host": "site.example", "prefix": prefix, "kind": kind, "timeout_ms": 3000,
+            "target_latency_ms": 500, "priority": 1, "service": service, "max_attempts": 2,
+        })
+    };
+    let mut routes = json!({
+        "lookup": route("/lookup/", "safe", "registry"),
+        "order": route("/order/", "unsafe", "registry"),
+        "upload": route("/upload/", "upload", "patterns"),
+    });
+    for index in 0..extra {
+        let prefix = format!("/extra{index}/");
+        routes[format!("extra{index}")] = route(&prefix, "safe", "registry");
+    }
+    json!({
+        "version": format!("{version:08x}"),
+        "routes": routes,
+        "services": {
+            "registry": {"health_path": "/health", "max_conns": 330},
+            "patterns": {"health_path": "/health", "max_conns": 330},
+        },
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    })
+}
+
+/// What a server writes of itself.
+pub fn server(address: SocketAddr, service: &str, zone: &str, state: &str) -> Value {
+    json!({
+        "address": address.to_string(),
+        "info": {"service": service, "version": "v1", "zone": zone, "slots": 6},
+        "status": {"state": state, "seq_no": 1, "warmup_left_ms": 0},
+        "born": 1_700_000_000_000_u64,
+    })
+}
