--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -21,8 +21,13 @@
 /// Longest time that the platform holds a question for changes. Servers write all the time, so
 /// that no answer for longer means that the platform is impaired.
 const WAIT: Duration = Duration::from_millis(1500);
-/// Pause between questions: changes of this time are read together.
-const GATHER: Duration = Duration::from_millis(350);
+/// Pause between questions: changes of this time are read together. A third of the time after which
+/// a server that leaves must get nothing more.
+const GATHER: Duration = Duration::from_millis(600);
+/// Pause between looks whether the list has to be asked for.
+const LOOK: Duration = Duration::from_millis(300);
+/// Homes that follow the list and tell the others: some more than may fail together.
+const FOLLOWERS: usize = 4;
 /// Age of the list at which an instance that is no home asks for itself.
 const STALE: Duration = Duration::from_millis(1700);
 /// Changes told in one packet.
@@ -34,7 +39,7 @@
     let mut backoff = Backoff::new();
     loop {
         if !is_due(&context) {
-            tokio::time::sleep(GATHER).await;
+            tokio::time::sleep(LOOK).await;
             continue;
         }
         let begin = context.now();
@@ -57,7 +62,13 @@
 fn is_due(context: &Context) -> bool {
     let state = context.state();
     let age = context.now().saturating_sub(state.listing_seen);
-    state.listing.mark().is_none() || state.steering.is_home() || age > STALE
+    state.listing.mark().is_none() || is_follower(&state) || age > STALE
+}
+
+fn is_follower(state: &State) -> bool {
+    let own = &state.steering.own().name;
+    let followers = state.steering.homes().iter().take(FOLLOWERS);
+    followers.into_iter().any(|name| name == own)
 }
 
 async fn ask(context: &Context) -> Result<(), Error> {
@@ -107,7 +118,7 @@
 
 /// Tells all other instances what changed after a version, if this one is a home.
 fn tell(context: &Context, state: &State, after: Option<u64>, changed: &[Change]) {
-    if !state.steering.is_home() || changed.is_empty() {
+    if !is_follower(state) || changed.is_empty() {
         return;
     }
     let to = state.steering.everyone();
