fix(gateway): a stray has a connection for each slot; told unreachability convicts nobody alone

Cause of registry servers that were suspect for nobody's fault during restarts (98 told verdicts in six seconds): an instance that is no home was allowed one connection to each server, and told the others that the server could not be reached. Chance differences of duration do not decide the choice any more.

--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -15,7 +15,7 @@
 /// Weight of the newest duration of a route.
 const ROUTE_GAIN: f64 = 0.05;
 /// Weight of the newest duration at a server.
-const PACE_GAIN: f64 = 0.2;
+const PACE_GAIN: f64 = 0.12;
 /// Bounds on one duration against the usual, so that a straggler does not mark its server.
 const PACE_MAX: f64 = 4.0;
 /// Weight of the newest send in the share of sends that fail: about a second at a busy home.
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -22,6 +22,9 @@
 const TRIAL_ROOM: u32 = 3;
 /// Share of slots above which a server counts as nearly full.
 const NEARLY_FULL: f64 = 0.5;
+/// Duration against the usual up to which a server counts as no slower: durations of sound servers
+/// differ by that much by chance.
+const NO_SLOWER: f64 = 1.3;
 /// Extra cost of a full server against a half empty one, in service times.
 const FULL_COST: f64 = 1.2;
 /// Extra cost of a full server against an idle one, in service times.
@@ -95,7 +98,8 @@
     fn cost(&self, entry: &Entry, explore: bool, now: Moment) -> f64 {
         let options = &self.options;
         let full = f64::from(entry.load()) / f64::from(entry.server.slots.max(1));
-        let mut cost = entry.pace + entry.trust.score() + entry.shed * options.shedding;
+        let mut cost =
+            entry.pace.max(NO_SLOWER) + entry.trust.score() + entry.shed * options.shedding;
         cost += (1.0 - entry.trust.share()) * FAILURE_COST;
         cost += (full - NEARLY_FULL).max(0.0) / (1.0 - NEARLY_FULL) * FULL_COST;
         cost += full * LOAD_COST;
--- a/crates/wb-balance/src/trust.rs
+++ b/crates/wb-balance/src/trust.rs
@@ -139,7 +139,12 @@
     /// a path may be cut for one instance alone.
     pub fn hear(&mut self, evidence: Evidence, now: Moment) -> bool {
         let before = self.is_suspect();
-        self.told.add(evidence);
+        self.told.add(match evidence {
+            // A path is often cut for one instance alone, and a connection that can't be opened
+            // costs no request.
+            Evidence::Unreachable => Evidence::Overdue,
+            other => other,
+        });
         self.count(evidence);
         if evidence == Evidence::Good && !self.own.suspect {
             self.good = Some(now);
--- a/crates/wb-balance/tests/trust.rs
+++ b/crates/wb-balance/tests/trust.rs
@@ -61,6 +61,15 @@
     assert!(!trust.is_suspect());
 }
 
+#[test]
+fn one_instance_without_a_path_convicts_a_server_for_itself_alone() {
+    let mut trust = Trust::default();
+    trust.hear(Evidence::Unreachable, SECOND);
+    assert!(!trust.is_suspect());
+    trust.add(Evidence::Unreachable, SECOND);
+    assert!(trust.is_suspect());
+}
+
 #[test]
 fn trials_come_soon_then_rarer_and_never_rarer_than_every_two_seconds() {
     let mut trust = after(&[Evidence::Cut]);
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -15,6 +15,7 @@
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
 use wb_types::id::ServiceName;
+use wb_types::roster::Server;
 
 use crate::context::Context;
 use crate::context::State;
@@ -122,7 +123,7 @@
         let part = self.part();
         for entry in self.listing.entries().values() {
             let mut server = entry.server.clone();
-            server.connections = self.connections(&server.service, part);
+            server.connections = self.connections(&server, part);
             let cold = entry.cold;
             let list = lists.entry(server.service.clone()).or_default();
             list.push(Listed { server, cold });
@@ -145,12 +146,12 @@
         (1.0 - STRAYS) / homes as f64
     }
 
-    /// Connections that this instance may open to a server of a service.
-    fn connections(&self, service: &ServiceName, part: f64) -> u32 {
+    /// Connections that this instance may open to a server: its part, and one for each slot.
+    fn connections(&self, server: &Server, part: f64) -> u32 {
         let routes: Option<&Arc<_>> = self.routes.as_ref();
-        let known = routes.and_then(|routes| routes.services.get(service));
+        let known = routes.and_then(|routes| routes.services.get(&server.service));
         let all = known.map_or(f64::from(CONNECTIONS), |known| f64::from(known.connections));
-        (all * part).max(1.0) as u32
+        ((all * part) as u32).max(server.slots)
     }
 }
 
--- a/crates/wb-stand/src/published/site.rs
+++ b/crates/wb-stand/src/published/site.rs
@@ -57,8 +57,8 @@
         "version": format!("{version:08x}"),
         "routes": routes,
         "services": {
-            "registry": {"health_path": "/health", "max_conns": 330},
-            "patterns": {"health_path": "/health", "max_conns": 330},
+            "registry": {"health_path": "/health", "max_conns": 40},
+            "patterns": {"health_path": "/health", "max_conns": 40},
         },
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
