--- a/crates/wb-gateway/src/front/attempt.rs
+++ b/crates/wb-gateway/src/front/attempt.rs
@@ -12,6 +12,8 @@
 use http_body_util::BodyExt;
 use wb_balance::Ending;
 use wb_balance::Evidence;
+use wb_event::Event;
+use wb_event::line;
 use wb_http::Body;
 use wb_http::SendError;
 use wb_http::body;
@@ -60,8 +62,6 @@
     Lost {
         /// Why.
         reason: &'static str,
-        /// The error.
-        error: String,
     },
 }
 
@@ -93,8 +93,9 @@
         }
     };
     match result {
-        Ok(Ok(checked)) => settle(&context, checked, slot, begin),
-        Ok(Err(SendError::Unsent { request, why: _ })) => {
+        Ok(Ok(checked)) => settle(&context, &intake, checked, slot, begin),
+        Ok(Err(SendError::Unsent { request, why })) => {
+            report(&intake, &slot, "unreachable", &why);
             slot.end(Ending::Bad(Evidence::Unreachable));
             Outcome::Unrun {
                 reason: "unreachable",
@@ -103,23 +104,35 @@
             }
         }
         Ok(Err(SendError::Lost(error))) => {
+            report(&intake, &slot, "cut", &error);
             slot.end(Ending::Bad(Evidence::Cut));
-            Outcome::Lost {
-                reason: "cut",
-                error,
-            }
+            Outcome::Lost { reason: "cut" }
         }
         Err(_) => {
+            report(
+                &intake,
+                &slot,
+                "timeout",
+                "no whole answer before the deadline",
+            );
             slot.end(Ending::Void);
-            let error = "no whole answer before the deadline".to_owned();
-            Outcome::Lost {
-                reason: "timeout",
-                error,
-            }
+            Outcome::Lost { reason: "timeout" }
         }
     }
 }
 
+/// Logs a send that ended without a whole answer.
+fn report(intake: &Intake, slot: &Slot, reason: &'static str, error: &str) {
+    line!(
+        Event::AttemptFailed,
+        request = intake.id,
+        service = intake.service,
+        server = slot.grant.server.name,
+        reason = reason,
+        error = error
+    );
+}
+
 /// Time after which a send counts against its server.
 fn overdue(context: &Context, intake: &Intake) -> Duration {
     let state = context.state();
@@ -190,7 +203,13 @@
     }
 }
 
-fn settle(context: &Context, checked: Checked, slot: Slot, begin: Duration) -> Outcome {
+fn settle(
+    context: &Context,
+    intake: &Intake,
+    checked: Checked,
+    slot: Slot,
+    begin: Duration,
+) -> Outcome {
     let took = context.now().saturating_sub(begin);
     match checked {
         Checked::Whole(response) => {
@@ -220,19 +239,24 @@
             Outcome::Answer(Response::from_parts(parts, body::boxed(held)))
         }
         Checked::Shed => {
+            report(intake, &slot, "shed", "the server did not run it");
             slot.end(Ending::Shed);
             unrun("shed")
         }
         Checked::Misdirected => {
+            report(
+                intake,
+                &slot,
+                "misdirected",
+                "another server has the address",
+            );
             slot.end(Ending::Misdirected);
             unrun("misdirected")
         }
         Checked::Spoilt(error) => {
+            report(intake, &slot, "spoilt", &error);
             slot.end(Ending::Bad(Evidence::Cut));
-            Outcome::Lost {
-                reason: "spoilt",
-                error,
-            }
+            Outcome::Lost { reason: "spoilt" }
         }
     }
 }
--- a/crates/wb-gateway/src/front/forward.rs
+++ b/crates/wb-gateway/src/front/forward.rs
@@ -15,8 +15,6 @@
 use wb_balance::Ask;
 use wb_balance::Refusal;
 use wb_balance::ServerKey;
-use wb_event::Event;
-use wb_event::line;
 use wb_http::Body;
 
 use super::attempt;
@@ -143,10 +141,7 @@
             // Work that must not repeat goes on if its caller leaves: it has begun.
             let task = tokio::spawn(sending);
             self.running.push(Box::pin(async move {
-                task.await.unwrap_or_else(|err| Outcome::Lost {
-                    reason: "internal",
-                    error: err.to_string(),
-                })
+                task.await.unwrap_or(Outcome::Lost { reason: "internal" })
             }));
         }
         Ok(())
@@ -185,9 +180,8 @@
                 (reason, Turn::Unsent)
             }
             Outcome::Unrun { reason, .. } => (reason, Turn::Again),
-            Outcome::Lost { reason, error } => {
+            Outcome::Lost { reason } => {
                 self.maybe = true;
-                self.log(reason, &error);
                 (reason, Turn::Again)
             }
         };
@@ -208,17 +202,6 @@
         safe && room && time && self.payload.is_ready() && self.running.is_empty()
     }
 
-    fn log(&self, reason: &'static str, error: &str) {
-        line!(
-            Event::AttemptFailed,
-            request = self.intake.id,
-            service = self.intake.service,
-            server_index = self.tried.len(),
-            reason = reason,
-            error = error
-        );
-    }
-
     fn answered(&self, response: Response<Body>, record: &mut Record) -> Response<Body> {
         record.answered(response.status(), self.sends);
         response
--- a/crates/wb-gateway/src/front/mod.rs
+++ b/crates/wb-gateway/src/front/mod.rs
@@ -57,16 +57,17 @@
         let context = &self.0;
         let _active = Active::new(context.clone());
         let (head, body) = request.into_parts();
+        let id = intake::text(&head.headers, &context.headers.request).map(str::to_owned);
         let intake = match Intake::read(context, head) {
             Ok(intake) => Arc::new(intake),
-            Err(rejection) => return reply::reject(context, None, &rejection),
+            Err(rejection) => return reply::reject(context, None, id.as_deref(), &rejection),
         };
         let mut record = Record::new(context.clone(), intake.clone());
         let payload = match Payload::read(&intake, body).await {
             Ok(payload) => payload,
             Err(rejection) => {
                 record.end("refused", rejection.reason);
-                return reply::reject(context, Some(&intake), &rejection);
+                return reply::reject(context, Some(&intake), None, &rejection);
             }
         };
         forward::run(context, &intake, payload, &mut record).await
--- a/crates/wb-gateway/src/front/reply.rs
+++ b/crates/wb-gateway/src/front/reply.rs
@@ -41,10 +41,16 @@
 }
 
 /// Answers a request that can't be forwarded.
-pub fn reject(context: &Context, intake: Option<&Intake>, rejection: &Rejection) -> Response<Body> {
+pub fn reject(
+    context: &Context,
+    intake: Option<&Intake>,
+    id: Option<&str>,
+    rejection: &Rejection,
+) -> Response<Body> {
     if intake.is_none() {
         line!(
             Event::Refused,
+            request = id,
             reason = rejection.reason,
             status = rejection.status.as_u16()
         );
@@ -79,7 +85,8 @@
     own(context, Some(intake), status)
 }
 
-/// How a request ended; one that is dropped before its end was left by its caller.
+/// How a request ended; one that is dropped before its end was left by its caller, or cut at the
+/// end of the process.
 pub struct Record {
     context: Arc<Context>,
     intake: Arc<Intake>,
@@ -135,16 +142,25 @@
 
     /// The request was not run.
     pub fn refused(&mut self, refusal: &Refusal, last: &'static str, sends: u32) {
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let service = state.service(&self.intake.service, &self.context);
+        let balancer = &mut service.balancer;
         line!(
             Event::Refused,
             request = self.intake.id,
             route = self.intake.route.name,
+            waiting = balancer.waiting(),
+            usable = balancer.usable(),
+            suspects = balancer.suspects(),
+            budget = balancer.budget().left(now),
             reason = refusal.cause.to_string(),
             last = last,
             sends = sends,
             after_ms = refusal.after.as_millis() as u64,
             took_ms = self.took().as_millis() as u64
         );
+        drop(state);
         self.end("refused", refusal.cause.into());
     }
 
@@ -167,8 +183,13 @@
         if self.ended {
             return;
         }
+        let event = if self.context.is_closing() {
+            Event::Cut
+        } else {
+            Event::CallerGone
+        };
         line!(
-            Event::CallerGone,
+            event,
             request = self.intake.id,
             route = self.intake.route.name,
             took_ms = self.took().as_millis() as u64
--- a/crates/wb-gateway/src/leave.rs
+++ b/crates/wb-gateway/src/leave.rs
@@ -13,7 +13,7 @@
 /// have the rest of it to end; later ones are refused, which tells their callers to go elsewhere.
 const SERVE: f64 = 0.45;
 /// Part of the grace at which the daemon ends whatever is still running.
-const CUT: f64 = 0.96;
+const CUT: f64 = 0.92;
 /// Longest wait for the platform to take the instance out.
 const UNLIST: Duration = Duration::from_millis(500);
 
@@ -37,7 +37,6 @@
         line!(Event::Cut, active = context.metrics.active.get());
     }
     line!(Event::Stopped);
-    wb_event::line::flush();
 }
 
 fn tell(context: &Context) {
