--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -38,8 +38,12 @@
             self.learn(key, route, duration);
         }
         let entry = self.servers.get_mut(key)?;
-        if !entry.trust.is_suspect() {
-            let failed = f64::from(u8::from(matches!(ending, Ending::Bad(_))));
+        let failed = match ending {
+            Ending::Good(_) => Some(0.0),
+            Ending::Bad(_) | Ending::Timeout => Some(1.0),
+            _ => None,
+        };
+        if let Some(failed) = failed.filter(|_| !entry.trust.is_trying()) {
             self.failing += (failed - self.failing) * FAILING_GAIN;
         }
         entry.running = entry.running.saturating_sub(1);
@@ -59,7 +63,7 @@
                 entry.misplaced = true;
                 None
             }
-            Ending::Void => None,
+            Ending::Timeout | Ending::Void => None,
         }
     }
 
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -118,6 +118,8 @@
     Shed,
     /// Another server has the address.
     Misdirected,
+    /// No answer came before the request's own deadline. That it was overdue was noted before.
+    Timeout,
     /// Nothing was learnt, e.g. the caller went away.
     Void,
 }
@@ -187,7 +189,7 @@
     mean: f64,
     /// Part of the fleet's work on this service that this instance carries.
     part: f64,
-    /// Share of sends to servers in use that failed of late.
+    /// Share of sends that failed of late, trials aside.
     failing: f64,
     /// Highest rank of any request so far; 0 is the highest of all.
     urgent: u8,
--- a/crates/wb-balance/src/trust.rs
+++ b/crates/wb-balance/src/trust.rs
@@ -214,6 +214,11 @@
         self.trial
     }
 
+    /// Whether a trial is under way.
+    pub fn is_trying(&self) -> bool {
+        self.trying
+    }
+
     /// Marks a trial as begun or ended.
     pub fn set_trying(&mut self, trying: bool) {
         self.trying = trying;
--- a/crates/wb-balance/tests/choice.rs
+++ b/crates/wb-balance/tests/choice.rs
@@ -175,3 +175,37 @@
     let trial = go(balancer.offer(ask(true, at(600)), at(600)));
     assert_eq!(*trial.server.name, *sick);
 }
+
+/// Servers that get orders among twenty, after so many of a hundred sends failed.
+fn used_after(failures: u64) -> usize {
+    let mut balancer = service(20, 6);
+    for index in 0..300 {
+        let now = at(index * 10);
+        let grant = go(balancer.offer(ask(false, now), now));
+        let ending = if index % 100 < failures {
+            Ending::Timeout
+        } else {
+            Ending::Good(Duration::from_millis(5))
+        };
+        balancer.finish(grant.key, "orders", ending, now);
+    }
+    let mut used = HashSet::new();
+    let mut held = Vec::new();
+    for index in 0..40 {
+        let now = at(3000 + index);
+        let grant = go(balancer.offer(ask(false, now), now));
+        used.insert(grant.server.name.to_string());
+        held.push(grant);
+    }
+    used.len()
+}
+
+#[test]
+fn orders_gather_on_proven_servers_while_failures_are_rare() {
+    assert!(used_after(0) <= 17, "{} of 20", used_after(0));
+}
+
+#[test]
+fn orders_spread_over_all_servers_while_failures_are_common() {
+    assert!(used_after(30) >= 19, "{} of 20", used_after(30));
+}
--- a/crates/wb-gateway/src/front/attempt.rs
+++ b/crates/wb-gateway/src/front/attempt.rs
@@ -115,7 +115,7 @@
                 "timeout",
                 "no whole answer before the deadline",
             );
-            slot.end(Ending::Void);
+            slot.end(Ending::Timeout);
             Outcome::Lost { reason: "timeout" }
         }
     }
--- a/crates/wb-gateway/src/front/slot.rs
+++ b/crates/wb-gateway/src/front/slot.rs
@@ -219,6 +219,7 @@
         Ending::Bad(evidence) => evidence.into(),
         Ending::Shed => "shed",
         Ending::Misdirected => "misdirected",
+        Ending::Timeout => "timeout",
         Ending::Void => "void",
     }
 }
