--- a/crates/wb-balance/tests/trust.rs
+++ b/crates/wb-balance/tests/trust.rs
@@ -103,7 +103,7 @@
     let mut cleared = 0;
     for step in 0..7000 {
         seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-        let good = (seed >> 33) % 7 == 0;
+        let good = (seed >> 33).is_multiple_of(7);
         let evidence = if good { Evidence::Good } else { Evidence::Cut };
         let was = trust.is_suspect();
         trust.add(evidence, SECOND * step);
--- a/crates/wb-entry/src/front/header.rs
+++ b/crates/wb-entry/src/front/header.rs
@@ -1,6 +1,7 @@
 //! Names of headers.
 
 use http::HeaderMap;
+pub use wb_http::header::end_to_end;
 
 /// Service that a caller asks for.
 pub const SERVICE: &str = "x-service";
@@ -33,18 +34,6 @@
 /// Whether work passed on was counted against its limits.
 pub const PEER_ADMITTED: &str = "x-peer-admitted";
 
-/// Headers of one connection; they are not passed on.
-const HOP_BY_HOP: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Headers that only the fleet itself may set.
 const OWN: [&str; 8] = [
     SERVICE,
@@ -67,20 +56,6 @@
     text(headers, name)?.parse().ok()
 }
 
-/// Headers that go on to the other side.
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = headers.clone();
-    if let Some(named) = text(headers, "connection") {
-        for name in named.split(',') {
-            kept.remove(name.trim());
-        }
-    }
-    for name in HOP_BY_HOP {
-        kept.remove(name);
-    }
-    kept
-}
-
 /// Headers of a caller's request that go on to a backend server.
 pub fn to_backend(headers: &HeaderMap) -> HeaderMap {
     let mut kept = end_to_end(headers);
--- a/crates/wb-event/tests/stall.rs
+++ b/crates/wb-event/tests/stall.rs
@@ -59,7 +59,7 @@
     line::flush();
     let bytes = written.lock().expect("no holder panics").clone();
     let text = String::from_utf8(bytes).expect("lines are text");
-    let lines = text.lines().map(|line| serde_json::from_str::<Value>(line));
+    let lines = text.lines().map(serde_json::from_str::<Value>);
     let lines: Vec<Value> = lines.map(|line| line.expect("each is JSON")).collect();
     let count = |name: &str| lines.iter().filter(|line| line["name"] == name).count() as u64;
     assert_eq!(count("failed"), 100, "failures are dropped last");
--- a/crates/wb-gateway/src/front/attempt.rs
+++ b/crates/wb-gateway/src/front/attempt.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -17,6 +16,7 @@
 use wb_http::Body;
 use wb_http::SendError;
 use wb_http::body;
+use wb_http::header::end_to_end;
 use wb_http::pool::Reply;
 use wb_http::pool::Terms;
 
@@ -306,29 +306,3 @@
         self.body.size_hint()
     }
 }
-
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// Headers that go on to the other side.
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = headers.clone();
-    if let Some(named) = text(headers, &http::header::CONNECTION) {
-        for name in named.split(',') {
-            kept.remove(name.trim());
-        }
-    }
-    for name in HOP_BY_HOP {
-        kept.remove(name);
-    }
-    kept
-}
--- a/crates/wb-gateway/src/front/slot.rs
+++ b/crates/wb-gateway/src/front/slot.rs
@@ -1,7 +1,9 @@
 //! Slots at backend servers, taken and given back.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use serde::Serialize;
 use wb_balance::Ask;
 use wb_balance::Ending;
 use wb_balance::Evidence;
@@ -29,7 +31,8 @@
 }
 
 /// How a request asks for a slot.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Turn {
     /// It came from a caller.
     First,
@@ -103,29 +106,33 @@
             // The sender goes only if the request was taken out, which its own task alone does.
             verdict.unwrap_or(Err(Refusal {
                 cause: Cause::Deadline,
-                after: std::time::Duration::ZERO,
+                after: Duration::ZERO,
             }))?
         }
     };
+    log_routed(intake, &grant, turn, context.now().saturating_sub(now));
+    Ok(Slot {
+        grant,
+        context: context.clone(),
+        intake: intake.clone(),
+        ended: false,
+    })
+}
+
+fn log_routed(intake: &Intake, grant: &Grant, turn: Turn, waited: Duration) {
     line!(
         Event::Routed,
         request = intake.id,
         service = intake.service,
         server = grant.server.name,
-        turn = format!("{turn:?}"),
+        turn = turn,
         trial = grant.trial,
         running = grant.running,
         score = grant.score,
         age_ms = grant.age.map(|age| age.as_millis() as u64),
-        waited_ms = context.now().saturating_sub(now).as_millis() as u64,
+        waited_ms = waited.as_millis() as u64,
         routes = intake.version
     );
-    Ok(Slot {
-        grant,
-        context: context.clone(),
-        intake: intake.clone(),
-        ended: false,
-    })
 }
 
 impl Slot {
