fix(adapter): a row of an instance that can't be read keeps nobody from joining

Cause, found in reading: one row with a missing field failed the whole list of instances, so that a new instance asked again for ever.

--- a/crates/wb-gateway/src/follow/members.rs
+++ b/crates/wb-gateway/src/follow/members.rs
@@ -7,6 +7,7 @@
 
 use super::Backoff;
 use super::Watch;
+use super::report;
 use crate::Context;
 use crate::peers::beat;
 use crate::peers::whole;
@@ -30,8 +31,9 @@
 
 async fn exchange(context: &Context) -> Result<(), Error> {
     context.catalog.join(&context.settings.card).await?;
-    let cards = context.catalog.members().await?;
-    greet(context, cards);
+    let members = context.catalog.members().await?;
+    report(&members.findings);
+    greet(context, members.cards);
     Ok(())
 }
 
--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -19,7 +19,7 @@
 use crate::port::Servers;
 
 /// Longest time that the platform holds a question for changes. Servers write all the time, so
-/// that no answer for longer means that the platform is impaired.
+/// that no answer for longer means that the platform is in trouble.
 const WAIT: Duration = Duration::from_millis(1500);
 /// Pause between questions: changes of this time are read together. A third of the time after which
 /// a server that leaves must get nothing more.
--- a/crates/wb-gateway/src/port.rs
+++ b/crates/wb-gateway/src/port.rs
@@ -48,6 +48,15 @@
     pub findings: Vec<Finding>,
 }
 
+/// Instances that have joined and not left.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    /// Those that could be read.
+    pub cards: Vec<Card>,
+    /// What could not be read.
+    pub findings: Vec<Finding>,
+}
+
 /// The routes as the platform has them.
 #[derive(Clone, Debug, Default)]
 pub struct Routes {
@@ -72,7 +81,7 @@
     /// Tells other instances of this one.
     fn join(&self, card: &Card) -> BoxFuture<'_, Result<(), Error>>;
     /// Instances that have joined and not left.
-    fn members(&self) -> BoxFuture<'_, Result<Vec<Card>, Error>>;
+    fn members(&self) -> BoxFuture<'_, Result<Members, Error>>;
     /// Takes an instance out again.
     fn leave(&self, name: &InstanceName) -> BoxFuture<'_, Result<(), Error>>;
 }
--- a/crates/wb-members/src/listing.rs
+++ b/crates/wb-members/src/listing.rs
@@ -24,7 +24,7 @@
 const KEEP_MAX: Duration = Duration::from_secs(20);
 /// Time after the begin of a failed call in which a vanished entry counts as lapsed. A failure may
 /// show only long after the platform is back, so that its own moment says little.
-const IMPAIRED: Duration = Duration::from_secs(3);
+const AWAY: Duration = Duration::from_secs(3);
 
 /// Version of the platform's rows.
 pub type Mark = u64;
@@ -185,10 +185,10 @@
 
     fn take(&mut self, changes: Vec<Change>, now: Moment) -> Vec<Change> {
         let failed = self.failed;
-        let impaired = failed.is_some_and(|at| now.saturating_sub(at) < IMPAIRED);
+        let away = failed.is_some_and(|at| now.saturating_sub(at) < AWAY);
         let mut changed = Vec::new();
         for change in changes {
-            if change.entry.is_none() && impaired && self.is_live(&change.name) {
+            if change.entry.is_none() && away && self.is_live(&change.name) {
                 // The platform has just been read, so that servers can reach it as well.
                 let lapse = Lapse {
                     until: now + RETURN,
