--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use wb_types::id::Moment;
 use wb_types::id::ServerName;
 use wb_types::roster::Stay;
 
@@ -89,13 +88,4 @@
         }
         Duration::from_secs_f64(ahead as f64 * self.mean / slots)
     }
-
-    /// When the next trial of a suspect is due.
-    pub fn next_trial(&self) -> Option<Moment> {
-        let suspects = self.servers.values();
-        suspects
-            .filter(|entry| entry.trust.is_suspect())
-            .map(|entry| entry.trust.trial())
-            .min()
-    }
 }
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -8,7 +8,6 @@
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
 use wb_types::roster::Server;
-use wb_types::roster::Stay;
 
 use super::Balancer;
 use super::Entry;
@@ -91,14 +90,6 @@
         self.names.insert(listed.server.name.clone(), key);
     }
 
-    /// Stops new work for a server at once.
-    pub fn set_leaving(&mut self, name: &str) {
-        let key = self.names.get(name).copied();
-        if let Some(entry) = key.and_then(|key| self.servers.get_mut(key)) {
-            entry.server.stay = Stay::Leaving;
-        }
-    }
-
     /// Takes the part of the fleet's work that this instance carries, 0 to 1.
     pub fn set_part(&mut self, part: f64) {
         self.part = part.clamp(0.001, 1.0);
--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -52,8 +52,6 @@
     ServerLeaving = 303,
     /// The list of backend servers changed.
     RosterChanged = 304,
-    /// A backend server's entry lapsed while the platform was impaired; the server is kept.
-    Lapsed = 305,
     /// A row of the platform can't be read.
     RowUnreadable = 306,
     /// A member's liveness changed.
--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -64,8 +64,6 @@
     pub listing_age: Gauge,
     /// Time since the routes were confirmed, in milliseconds.
     pub routes_age: Gauge,
-    /// Further sends that the retry budget leaves, by service.
-    pub budget: Family<ServiceLabels, Gauge>,
     /// Packets to other instances that were dropped since too many waited.
     pub packets_dropped: Counter,
     /// Log lines dropped and not yet reported by a line.
@@ -100,7 +98,6 @@
             routes: Gauge::default(),
             listing_age: Gauge::default(),
             routes_age: Gauge::default(),
-            budget: Family::default(),
             packets_dropped: Counter::default(),
             lines_dropped: Gauge::default(),
         };
@@ -149,7 +146,6 @@
             "Time since the routes were confirmed",
             self.routes_age.clone(),
         );
-        all.register("retry_budget", "Further sends left", self.budget.clone());
         all.register(
             "packets_dropped",
             "Packets to other instances dropped",
--- a/crates/wb-route/src/table.rs
+++ b/crates/wb-route/src/table.rs
@@ -82,11 +82,6 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
-    /// Whether any route has this host.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.hosts.contains_key(&host.to_ascii_lowercase())
-    }
-
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
