fix: the rest of a refused body is read, so its caller gets the refusal

queued_upload was red: an upload that is refused before its body was read got a reset in place of the refusal, as the listener closed a connection that still held unread bytes. Both listeners had it (the one on the platform too). The body that a handler drops is now read on and discarded for at most 30 s; a caller that waits for leave to send (expect) has nothing to be read. Both tests in wb-http/tests/serve.rs failed first (connection reset).

leaving_server was red when no request reached the server before the two seconds began: the logs of a red run show its first request, and the sign, inside the watch (100 lookups had gone to other homes). The step now starts the two seconds at the first sign, which is the stated target; no sign at all fails it. Logs of scenarios that fail are kept.

--- a/crates/wb-entry/src/front/claim.rs
+++ b/crates/wb-entry/src/front/claim.rs
@@ -10,7 +10,6 @@
 
 use http::Response;
 use http::request::Parts;
-use hyper::body::Incoming;
 use wb_claim::Answer;
 use wb_claim::Begin;
 use wb_claim::End;
@@ -19,6 +18,7 @@
 use wb_claim::Ticket;
 use wb_event::Event;
 use wb_event::emit;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_platform::Claimed;
 use wb_types::outcome::Outcome;
@@ -119,7 +119,7 @@
     context: &Arc<Context>,
     intake: &Arc<Intake>,
     parts: Parts,
-    body: Incoming,
+    body: Arriving,
 ) -> Result<Response<Body>, Refusal> {
     let began = Instant::now();
     let record = match open(context, intake).await {
--- a/crates/wb-entry/src/front/mod.rs
+++ b/crates/wb-entry/src/front/mod.rs
@@ -26,9 +26,9 @@
 use futures::future::BoxFuture;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 use wb_event::Event;
 use wb_event::emit;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::serve::Handler;
 use wb_types::outcome::Refusal;
@@ -64,7 +64,7 @@
         Self { context }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn route(&self, request: Request<Arriving>) -> Response<Body> {
         let context = self.context.clone();
         let _active = Active::new(context.clone());
         if request.uri().path().starts_with(ask::PREFIX) {
@@ -107,7 +107,7 @@
 impl Handler for Front {
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         async move { self.route(request).await }.boxed()
--- a/crates/wb-entry/src/front/payload.rs
+++ b/crates/wb-entry/src/front/payload.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::body;
 use wb_types::outcome::Reason;
@@ -37,7 +37,7 @@
     /// # Errors
     ///
     /// A refusal if a small body breaks off; the request was not run.
-    pub async fn take(body: Incoming, size: Option<u64>, idle: Duration) -> Result<Self, Refusal> {
+    pub async fn take(body: Arriving, size: Option<u64>, idle: Duration) -> Result<Self, Refusal> {
         let broken = Arc::new(AtomicBool::new(false));
         let payload = if size.is_some_and(|size| size <= KEEP_MAX) {
             let read = body::read(body, KEEP_MAX as usize, idle).await;
--- a/crates/wb-entry/src/operators/mod.rs
+++ b/crates/wb-entry/src/operators/mod.rs
@@ -25,9 +25,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use ractor::call_t;
 use serde::Serialize;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::body;
 use wb_http::serve::Handler;
@@ -61,7 +61,7 @@
         Self { context }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Arriving>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         match path.as_str() {
             "/ready" => return status::ready(&self.context),
@@ -107,7 +107,7 @@
         json(&delta)
     }
 
-    async fn edit(&self, incoming: Incoming) -> Response<Body> {
+    async fn edit(&self, incoming: Arriving) -> Response<Body> {
         let read = body::read(incoming, EDIT_MAX, IDLE).await;
         let Ok(bytes) = read else {
             return text(
@@ -138,7 +138,7 @@
 impl Handler for Operators {
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         async move { self.answer(request).await }.boxed()
--- a/crates/wb-gateway/src/directory.rs
+++ b/crates/wb-gateway/src/directory.rs
@@ -9,9 +9,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use wb_event::Event;
 use wb_event::line;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::body;
 use wb_http::serve::Handler;
@@ -26,7 +26,7 @@
 pub struct Directory(pub Arc<Context>);
 
 impl Directory {
-    fn answer(&self, request: &Request<Incoming>) -> Response<Body> {
+    fn answer(&self, request: &Request<Arriving>) -> Response<Body> {
         let context = &self.0;
         if context.calls.is_ready(request.uri()) {
             return self.ready();
@@ -69,7 +69,7 @@
 impl Handler for Directory {
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         let response = self.answer(&request);
@@ -83,7 +83,7 @@
 impl Handler for Figures {
     fn handle(
         self: Arc<Self>,
-        _request: Request<Incoming>,
+        _request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         let text = self.0.metrics.text();
--- a/crates/wb-gateway/src/front/mod.rs
+++ b/crates/wb-gateway/src/front/mod.rs
@@ -22,9 +22,9 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 use wb_event::Event;
 use wb_event::line;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::serve::Handler;
 
@@ -53,7 +53,7 @@
 }
 
 impl Front {
-    async fn route(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn route(&self, request: Request<Arriving>) -> Response<Body> {
         let context = &self.0;
         let _active = Active::new(context.clone());
         let (head, body) = request.into_parts();
@@ -77,7 +77,7 @@
 impl Handler for Front {
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         async move {
--- a/crates/wb-gateway/src/peers/whole.rs
+++ b/crates/wb-gateway/src/peers/whole.rs
@@ -9,9 +9,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::Serialize;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::body;
 use wb_http::call::CallError;
@@ -49,7 +49,7 @@
 impl Handler for Answers {
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         let found = request.uri().path() == PATH;
--- /dev/null
+++ b/crates/wb-http/src/arriving.rs
@@ -0,0 +1,84 @@
+//! Body of a request that is still coming in.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::header::EXPECT;
+use http_body::Body as _;
+use http_body::Frame;
+use http_body::SizeHint;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::runtime::Handle;
+
+/// Longest time for the rest of a body that nobody wants: about what a whole upload takes.
+const REST_TIME: Duration = Duration::from_secs(30);
+
+/// Body of a request. When it is dropped before its end, the rest is read and discarded: closing a
+/// connection with unread bytes resets it, and the peer would lose the answer.
+pub struct Arriving {
+    rest: Option<Incoming>,
+    /// The peer waits for leave to send; without it, there is no rest.
+    expects: bool,
+}
+
+impl Arriving {
+    pub(crate) fn wrap(request: Request<Incoming>) -> Request<Self> {
+        let expects = request.headers().contains_key(EXPECT);
+        request.map(|body| Self {
+            rest: Some(body),
+            expects,
+        })
+    }
+}
+
+impl http_body::Body for Arriving {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let Some(body) = &mut self.rest else {
+            return Poll::Ready(None);
+        };
+        let frame = ready!(Pin::new(body).poll_frame(cx));
+        self.expects = false;
+        if !matches!(frame, Some(Ok(_))) {
+            self.rest = None;
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.as_ref().is_none_or(Incoming::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let hint = self.rest.as_ref().map(Incoming::size_hint);
+        hint.unwrap_or_else(|| SizeHint::with_exact(0))
+    }
+}
+
+impl Drop for Arriving {
+    fn drop(&mut self) {
+        if self.expects || self.is_end_stream() {
+            return;
+        }
+        let (Some(rest), Ok(runtime)) = (self.rest.take(), Handle::try_current()) else {
+            return;
+        };
+        runtime.spawn(tokio::time::timeout(REST_TIME, discard(rest)));
+    }
+}
+
+/// Reads to the end, or to the first error: both end the request on its connection.
+async fn discard(mut rest: Incoming) {
+    while let Some(Ok(_)) = rest.frame().await {}
+}
--- a/crates/wb-http/src/serve.rs
+++ b/crates/wb-http/src/serve.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
+use crate::Arriving;
 use crate::Body;
 use crate::pool::tune;
 
@@ -33,7 +34,7 @@
     /// Answers one request of a peer.
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>>;
 
@@ -101,8 +102,8 @@
 ) -> impl Future<Output = ()> + use<> {
     let tuned = tune(&stream, options.silence);
     let answers = handler.clone();
-    let service = service_fn(move |request| {
-        let answer = answers.clone().handle(request, peer);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let answer = answers.clone().handle(Arriving::wrap(request), peer);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
--- /dev/null
+++ b/crates/wb-http/tests/serve.rs
@@ -0,0 +1,84 @@
+//! Listeners whose handlers answer before they have read what comes in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Request;
+use http::Response;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use wb_http::Arriving;
+use wb_http::Body;
+use wb_http::body;
+use wb_http::serve;
+use wb_http::serve::Handler;
+
+/// More than a connection's buffers hold, in bytes.
+const LARGE: usize = 8 * 1024 * 1024;
+
+/// Refuses every request without a look at its body.
+struct Refuser;
+
+impl Handler for Refuser {
+    fn handle(
+        self: Arc<Self>,
+        _request: Request<Arriving>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        async { Response::new(body::full("refused")) }.boxed()
+    }
+}
+
+async fn listen() -> (SocketAddr, watch::Sender<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+    let address = listener.local_addr().expect("an address");
+    let (stop, stopped) = watch::channel(false);
+    let handler = Arc::new(Refuser);
+    tokio::spawn(serve::serve(listener, Default::default(), handler, stopped));
+    (address, stop)
+}
+
+/// Sends a whole request and reads an answer that ends with `refused`.
+async fn exchange(stream: &mut TcpStream, size: usize) -> String {
+    let head = format!("PUT / HTTP/1.1\r\nhost: fleet\r\ncontent-length: {size}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("open");
+    let body = vec![3; size];
+    stream.write_all(&body).await.expect("read to its end");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"refused") {
+        let read = stream.read_buf(&mut answer).await.expect("an answer");
+        assert_ne!(read, 0, "the answer broke off");
+    }
+    String::from_utf8(answer).expect("text")
+}
+
+#[tokio::test]
+async fn refused_upload_gets_its_answer() {
+    let (address, _stop) = listen().await;
+    let mut stream = TcpStream::connect(address).await.expect("a listener");
+    for size in [LARGE, 0, LARGE, 10] {
+        let answer = exchange(&mut stream, size).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+}
+
+#[tokio::test]
+async fn stop_ends_after_the_upload() {
+    let (address, stop) = listen().await;
+    let mut stream = TcpStream::connect(address).await.expect("a listener");
+    let head = format!("PUT / HTTP/1.1\r\nhost: fleet\r\ncontent-length: {LARGE}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("open");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    stop.send(true).expect("a listener");
+    let body = vec![3; LARGE];
+    stream.write_all(&body).await.expect("read to its end");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    assert!(answer.ends_with("refused"), "{answer}");
+}
--- a/crates/wb-load/src/scenario/step.rs
+++ b/crates/wb-load/src/scenario/step.rs
@@ -22,7 +22,9 @@
 const WAIT: Duration = Duration::from_secs(20);
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(50);
-/// Time after which a leaving server must get nothing more.
+/// Longest wait for the first sign of a leaving server.
+const SIGN: Duration = Duration::from_secs(10);
+/// Time in which all must know of a leaving server, from its first sign on.
 const LEAVE: Duration = Duration::from_secs(2);
 /// Time for which it is watched.
 const WATCH: Duration = Duration::from_secs(2);
@@ -167,10 +169,17 @@
         Ok("no agreement".to_owned())
     }
 
-    /// Whether a leaving server gets nothing more, two seconds from now on.
+    /// Whether a leaving server gets nothing more, two seconds after its first sign: the answer to
+    /// the first request that reaches it.
     async fn quiet(&mut self, arguments: &Arguments) -> eyre::Result<String> {
         let server = server(arguments)?;
-        self.lookups_now("registry", 100).await?;
+        let until = Instant::now() + SIGN;
+        while self.late(&server).await? == 0 {
+            if Instant::now() > until {
+                return Ok("no sign".to_owned());
+            }
+            self.lookups_now("registry", 100).await?;
+        }
         tokio::time::sleep(LEAVE).await;
         let before = self.late(&server).await?;
         let until = Instant::now() + WATCH;
--- a/crates/wb-load/tests/processes.rs
+++ b/crates/wb-load/tests/processes.rs
@@ -1,6 +1,7 @@
 //! Scripted scenarios on real processes: the files in `scenarios/processes`.
 
 use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Mutex;
 
 use datadriven::TestCase;
@@ -25,17 +26,26 @@
     }
 }
 
-fn run(file: &mut TestFile, name: &str) {
+fn run(file: &mut TestFile, out: PathBuf) {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
-    let out = std::env::temp_dir().join(format!("wisteria-{}-{name}", std::process::id()));
     let example = root().join("examples/association");
-    let mut scenario = Scenario::new(example, out.clone());
+    let mut scenario = Scenario::new(example, out);
     file.run(|case| {
         let _guard = runtime.enter();
         step(case, &mut scenario, &runtime)
     });
-    drop(scenario);
-    let _ = std::fs::remove_dir_all(&out);
+}
+
+/// Plays a file; the logs of its processes are removed only if every step gave what was expected.
+fn play(name: &str) {
+    let _one = PORTS
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let path = root().join("scenarios/processes").join(name);
+    let out = std::env::temp_dir().join(format!("wisteria-{}-{name}", std::process::id()));
+    println!("logs of {name}: {}", out.display());
+    walk(&path.display().to_string(), |file| run(file, out.clone()));
+    std::fs::remove_dir_all(&out).expect("the logs of a test that passed are removable");
 }
 
 /// Names a test for each scenario file.
@@ -44,9 +54,7 @@
         $(
             #[test]
             fn $name() {
-                let _one = PORTS.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-                let path = root().join("scenarios/processes").join($file);
-                walk(&path.display().to_string(), |file| run(file, $file));
+                play($file);
             }
         )*
     };
--- a/crates/wb-stand/src/backend/handler.rs
+++ b/crates/wb-stand/src/backend/handler.rs
@@ -16,10 +16,10 @@
 use http::StatusCode;
 use http::request::Parts;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use sha2::Digest;
 use sha2::Sha256;
 use tokio::sync::Semaphore;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::body;
 use wb_http::serve::Handler;
@@ -110,7 +110,7 @@
         }
     }
 
-    async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn serve(&self, request: Request<Arriving>) -> Response<Body> {
         if request.uri().path() == "/health" {
             tokio::time::sleep(PROBE).await;
             return reply::status(StatusCode::OK);
@@ -124,7 +124,7 @@
         self.report(response, &knobs)
     }
 
-    async fn run(&self, request: Request<Incoming>, knobs: &Knobs) -> Response<Body> {
+    async fn run(&self, request: Request<Arriving>, knobs: &Knobs) -> Response<Body> {
         let (parts, incoming) = request.into_parts();
         let backlog = self.server.slots * knobs.backlog;
         if self.waiting.load(Ordering::Relaxed) >= backlog {
@@ -153,7 +153,7 @@
         response
     }
 
-    async fn work(&self, parts: &Parts, incoming: Incoming, knobs: &Knobs) -> Response<Body> {
+    async fn work(&self, parts: &Parts, incoming: Arriving, knobs: &Knobs) -> Response<Body> {
         let Some(body) = drain(incoming).await else {
             return reply::status(StatusCode::BAD_REQUEST);
         };
@@ -212,7 +212,7 @@
 impl Handler for Backend {
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         async move { self.serve(request).await }.boxed()
@@ -226,7 +226,7 @@
 }
 
 /// Reads a body and gives its digest; `None` if it breaks off.
-async fn drain(mut incoming: Incoming) -> Option<[u8; 32]> {
+async fn drain(mut incoming: Arriving) -> Option<[u8; 32]> {
     let mut hasher = Sha256::new();
     while let Some(frame) = incoming.frame().await {
         if let Ok(data) = frame.ok()?.into_data() {
--- a/crates/wb-stand/src/bin/stand_backend.rs
+++ b/crates/wb-stand/src/bin/stand_backend.rs
@@ -13,9 +13,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::serve;
 use wb_http::serve::Handler;
@@ -46,7 +46,7 @@
 }
 
 impl Control {
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Arriving>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         if path == "/control/ledger" {
             return reply::json(StatusCode::OK, &self.ledger.counts());
@@ -72,7 +72,7 @@
 impl Handler for Control {
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         async move { self.answer(request).await }.boxed()
--- a/crates/wb-stand/src/bin/stand_relay.rs
+++ b/crates/wb-stand/src/bin/stand_relay.rs
@@ -9,9 +9,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::serve;
 use wb_http::serve::Handler;
@@ -38,7 +38,7 @@
 }
 
 impl Control {
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Arriving>) -> Response<Body> {
         let index = request.uri().path().strip_prefix("/control/link/");
         let index = index.and_then(|index| index.parse::<usize>().ok());
         let Some(relay) = index.and_then(|index| self.relays.get(index)) else {
@@ -57,7 +57,7 @@
 impl Handler for Control {
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         async move { self.answer(request).await }.boxed()
--- a/crates/wb-stand/src/platform/handler.rs
+++ b/crates/wb-stand/src/platform/handler.rs
@@ -14,9 +14,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::Serialize;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::body;
 use wb_http::serve::Handler;
@@ -103,7 +103,7 @@
         state.faults = faults;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Arriving>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         if let Some(rest) = path.strip_prefix("/control/") {
             return self.control(rest, request).await;
@@ -130,7 +130,7 @@
         reply::status(StatusCode::NOT_FOUND)
     }
 
-    async fn control(&self, what: &str, request: Request<Incoming>) -> Response<Body> {
+    async fn control(&self, what: &str, request: Request<Arriving>) -> Response<Body> {
         if what == "faults" {
             return match reply::read(request.into_body()).await {
                 Ok(faults) => {
@@ -152,7 +152,7 @@
         reply::status(StatusCode::NOT_FOUND)
     }
 
-    async fn transact(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn transact(&self, request: Request<Arriving>) -> Response<Body> {
         let transaction: Transaction = match reply::read(request.into_body()).await {
             Ok(transaction) => transaction,
             Err(answer) => return answer,
@@ -190,7 +190,7 @@
         reply::json(StatusCode::OK, &store.rows(rest, after))
     }
 
-    async fn object(&self, path: &str, request: Request<Incoming>) -> Response<Body> {
+    async fn object(&self, path: &str, request: Request<Arriving>) -> Response<Body> {
         let path = path.trim_start_matches('/');
         if request.method() == Method::PUT {
             let read = body::read(request.into_body(), OBJECT_MAX, IDLE).await;
@@ -218,7 +218,7 @@
 impl Handler for Stand {
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         async move { self.answer(request).await }.boxed()
--- a/crates/wb-stand/src/published/store.rs
+++ b/crates/wb-stand/src/published/store.rs
@@ -13,10 +13,10 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::watch;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::serve::Handler;
 
@@ -228,7 +228,7 @@
         reply::json(StatusCode::OK, &json!({"ver": ver, "now_ms": 0}))
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Arriving>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         let query = query(request.uri().query().unwrap_or_default());
         let mode = {
@@ -280,7 +280,7 @@
 impl Handler for Calls {
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         async move { self.0.answer(request).await }.boxed()
--- a/crates/wb-stand/src/reply.rs
+++ b/crates/wb-stand/src/reply.rs
@@ -2,9 +2,9 @@
 
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::body;
 
@@ -33,7 +33,7 @@
 /// # Errors
 ///
 /// The answer to give instead.
-pub async fn read<T: DeserializeOwned>(incoming: Incoming) -> Result<T, Response<Body>> {
+pub async fn read<T: DeserializeOwned>(incoming: Arriving) -> Result<T, Response<Body>> {
     let bytes = body::read(incoming, BODY_MAX, IDLE).await;
     let bytes = bytes.map_err(|_| status(StatusCode::BAD_REQUEST))?;
     serde_json::from_slice(&bytes).map_err(|err| json(StatusCode::BAD_REQUEST, &err.to_string()))
