fix: what is left of a row's limits is shared evenly; pools close idle connections first

Homes now tell the largest part of a limit they ask for; what all ask for is given and the rest is shared evenly. Above the limits nothing changes. burst_finds_room_at_an_idle_home failed first.

The pool now gives up after 4 s.

--- a/crates/wb-dispatch/src/dispatch/homes.rs
+++ b/crates/wb-dispatch/src/dispatch/homes.rs
@@ -11,6 +11,7 @@
 
 use super::Dispatch;
 use super::Home;
+use super::RowState;
 use super::SILENCE;
 use super::Stage;
 use super::Told;
@@ -118,7 +119,8 @@
         let count = self.homes.len() + 1;
         for state in self.rows.values_mut() {
             let others = others_of(&self.homes, &state.row.key, count, now);
-            let demand = state.demand.rate(now);
+            let waiting = self.queues.waiting_of(&state.row.key.class);
+            let demand = state.need(waiting, now);
             state.share = limit::next_share(demand, count, &others);
         }
     }
@@ -132,9 +134,10 @@
         }
         let mut rows = Vec::new();
         for state in self.rows.values_mut() {
+            let waiting = self.queues.waiting_of(&state.row.key.class);
             let load = RowLoad {
                 row: state.row.key.clone(),
-                demand: state.demand.rate(now) as f32,
+                demand: state.need(waiting, now) as f32,
                 share: state.share as f32,
             };
             if all || differs(&load, &state.told) {
@@ -156,6 +159,18 @@
     }
 }
 
+impl RowState {
+    /// The largest part of one of the row's limits that is asked for, 1 being the whole limit.
+    fn need(&mut self, waiting: usize, now: Moment) -> f64 {
+        let parts = [
+            self.demand.rate(now) / self.row.rate.max(f64::MIN_POSITIVE),
+            f64::from(self.running) / f64::from(self.row.concurrency.max(1)),
+            waiting as f64 / f64::from(self.row.queue.max(1)),
+        ];
+        parts.into_iter().fold(0.0, f64::max)
+    }
+}
+
 /// Whether a row has changed by more than a tenth since it was told.
 fn differs(load: &RowLoad, told: &Told) -> bool {
     let apart = |a: f32, b: f32| (a - b).abs() > DIFFERENCE * a.max(b).max(DIFFERENCE);
--- a/crates/wb-dispatch/src/limit/share.rs
+++ b/crates/wb-dispatch/src/limit/share.rs
@@ -3,7 +3,7 @@
 /// What another home said last.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Other {
-    /// Its demand, in requests per second.
+    /// Its demand, as a part of the row's limits.
     pub demand: f64,
     /// Its share, 0 to 1.
     pub share: f64,
@@ -16,9 +16,10 @@
 
 /// Next share of a home.
 ///
-/// The home aims at its part of the demand. It falls at once, and rises only into what all
-/// others have left free, so that the shares add up to 1 at most when every home has heard the
-/// others' latest shares.
+/// What all ask for is given, and what is left of the limits is shared evenly, so that a burst
+/// finds room at any home. Above the limits, a home aims at its part of the demand. It falls at
+/// once, and rises only into what all others have left free, so that the shares add up to 1 at
+/// most when every home has heard the others' latest shares.
 pub fn next(demand: f64, homes: usize, others: &[Other]) -> f64 {
     let homes = homes.max(1) as f64;
     if others.is_empty() {
@@ -29,21 +30,22 @@
         .filter(|other| !other.heard)
         .map(|other| other.share)
         .sum();
-    let heard: f64 = others
-        .iter()
-        .filter(|other| other.heard)
-        .map(|other| other.demand)
-        .sum();
-    let idle = IDLE_PART / homes;
-    let total = demand + heard;
-    let part = if total > 0.0 {
-        demand / total
-    } else {
-        1.0 / homes
-    };
     let open = (1.0 - silent).max(0.0);
-    let target = (idle + part * (1.0 - IDLE_PART)) * open;
+    let target = target(demand, homes, others, open);
     let taken: f64 = others.iter().map(|other| other.share).sum();
     let room = (1.0 - taken).max(0.0);
     target.min(room)
 }
+
+/// What a home aims at of the part that is open.
+fn target(demand: f64, homes: f64, others: &[Other], open: f64) -> f64 {
+    let heard = others.iter().filter(|other| other.heard);
+    let total = demand + heard.clone().map(|other| other.demand).sum::<f64>();
+    if total < open {
+        let sharing = 1.0 + heard.count() as f64;
+        return demand + (open - total) / sharing;
+    }
+    let idle = IDLE_PART / homes;
+    let part = if total > 0.0 { demand / total } else { 0.0 };
+    (idle + part * (1.0 - IDLE_PART)) * open
+}
--- a/crates/wb-dispatch/tests/limits.rs
+++ b/crates/wb-dispatch/tests/limits.rs
@@ -60,6 +60,13 @@
     the_busy_home_cut_off: [1000.0, 10.0, 10.0], [0], at_least 0.3;
 }
 
+#[test]
+fn burst_finds_room_at_an_idle_home() {
+    let shares = shares(&[0.1, 0.0, 0.05], &[], 50);
+    assert!(shares.iter().all(|share| *share > 0.25), "{shares:?}");
+    assert!(shares.iter().sum::<f64>() <= 1.0 + 1e-9, "{shares:?}");
+}
+
 #[test]
 fn a_bucket_holds_its_rate() {
     let mut bucket = Bucket::default();
--- a/crates/wb-http/src/pool/mod.rs
+++ b/crates/wb-http/src/pool/mod.rs
@@ -23,6 +23,10 @@
 pub use answer::Answer;
 pub(crate) use connect::tune;
 
+/// Longest time that a connection waits unused: four fifths of the time after which a listener
+/// closes it, so that no request meets the close.
+const IDLE: Duration = Duration::from_secs(4);
+
 /// Settings of a [`Pool`].
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -38,7 +42,7 @@
     fn default() -> Self {
         Self {
             connect: Duration::from_millis(1000),
-            idle: Duration::from_secs(10),
+            idle: IDLE,
             silence: Duration::from_secs(5),
         }
     }
--- a/crates/wb-http/src/serve.rs
+++ b/crates/wb-http/src/serve.rs
@@ -47,7 +47,8 @@
 pub struct Options {
     /// Connections open at a time; more wait to be accepted.
     pub connections: usize,
-    /// Longest time for the head of a request.
+    /// Longest time for the head of a request; also the longest time that a connection waits for
+    /// its next one.
     pub head: Duration,
     /// Time after which the system gives up a connection whose peer acknowledges nothing.
     pub silence: Duration,
--- a/crates/wb-http/tests/serve.rs
+++ b/crates/wb-http/tests/serve.rs
@@ -68,6 +68,12 @@
     }
 }
 
+#[test]
+fn pool_gives_up_connections_before_the_listener() {
+    let pool = wb_http::pool::Options::default();
+    assert!(pool.idle < serve::Options::default().head);
+}
+
 #[tokio::test]
 async fn stop_ends_after_the_upload() {
     let (address, stop) = listen().await;
--- a/crates/wb-types/src/member.rs
+++ b/crates/wb-types/src/member.rs
@@ -73,7 +73,7 @@
 pub struct RowLoad {
     /// The row.
     pub row: RowKey,
-    /// Requests offered, per second.
+    /// The largest part of one of the row's limits that is asked for, 1 being the whole limit.
     pub demand: f32,
     /// Share of the row's rate that the home admits, 0 to 1.
     pub share: f32,
