--- a/crates/wb-balance/src/trust.rs
+++ b/crates/wb-balance/src/trust.rs
@@ -53,6 +53,8 @@
     Overdue,
     /// The connection was cut, or the answer spoilt.
     Cut,
+    /// A connection that had waited unused was reset; sound servers may do so too.
+    Stale,
     /// No connection could be opened.
     Unreachable,
     /// A trial of a suspect failed. Convicts nobody; others wait longer before they try.
@@ -71,7 +73,7 @@
         let weight = match evidence {
             Evidence::Good if self.suspect => -CLEARS,
             Evidence::Good => -GOOD,
-            Evidence::Failed | Evidence::Overdue => FAILED,
+            Evidence::Failed | Evidence::Overdue | Evidence::Stale => FAILED,
             Evidence::Cut | Evidence::Unreachable => CUT,
             Evidence::TrialFailed => 0.0,
         };
--- a/crates/wb-entry/src/front/backend.rs
+++ b/crates/wb-entry/src/front/backend.rs
@@ -41,10 +41,7 @@
         return Step::NotRun(Reason::BadRequest);
     };
     let request = request(run, payload);
-    let terms = Terms {
-        connections: grant.connections,
-        fresh: !run.intake.idempotent,
-    };
+    let terms = Terms::new(grant.connections, run.intake.idempotent);
     let since = Instant::now();
     let pool = run.context.backends.clone();
     run.handed.store(true, Ordering::Relaxed);
@@ -57,11 +54,11 @@
             guard.finish(Ending::Bad, None);
             Step::NotRun(Reason::Connect)
         }
-        Ok(Err(SendError::Lost(_))) if run.upload.is_broken() => {
+        Ok(Err(SendError::Lost { .. })) if run.upload.is_broken() => {
             guard.finish(Ending::Void, None);
             Step::Lost(Reason::BadRequest)
         }
-        Ok(Err(SendError::Lost(_))) => {
+        Ok(Err(SendError::Lost { .. })) => {
             guard.finish(Ending::Bad, None);
             Step::Lost(Reason::BrokenAnswer)
         }
@@ -196,10 +193,7 @@
         return;
     };
     let request = request(run, payload);
-    let terms = Terms {
-        connections: copy.connections,
-        fresh: false,
-    };
+    let terms = Terms::new(copy.connections, true);
     let pool = run.context.backends.clone();
     let address = copy.address;
     let left = run.context.clock.until(run.intake.deadline);
--- a/crates/wb-entry/src/front/home.rs
+++ b/crates/wb-entry/src/front/home.rs
@@ -50,10 +50,7 @@
         return Step::NotRun(Reason::BadRequest);
     };
     let request = request(run, payload);
-    let terms = Terms {
-        connections: CONNECTIONS,
-        fresh: !run.intake.idempotent,
-    };
+    let terms = Terms::new(CONNECTIONS, run.intake.idempotent);
     run.context.metrics.passed.inc();
     let pool = run.context.homes.clone();
     run.handed.store(true, Ordering::Relaxed);
@@ -65,7 +62,7 @@
             run.upload.give_back(request.into_body());
             unreachable(run, name, guard, Reason::Connect)
         }
-        Ok(Err(SendError::Lost(_))) => lost(run, &home, guard, Reason::BrokenAnswer).await,
+        Ok(Err(SendError::Lost { .. })) => lost(run, &home, guard, Reason::BrokenAnswer).await,
         Err(_) => {
             run.context.homes.forget(home.callers);
             lost(run, &home, guard, Reason::Timeout).await
--- a/crates/wb-gateway/src/front/attempt.rs
+++ b/crates/wb-gateway/src/front/attempt.rs
@@ -18,7 +18,6 @@
 use wb_http::body;
 use wb_http::header::end_to_end;
 use wb_http::pool::Reply;
-use wb_http::pool::Terms;
 
 use super::intake::Intake;
 use super::intake::text;
@@ -37,6 +36,11 @@
 /// can be asked for again. Some hundred of them fit into a small instance.
 const HOLD_MAX: u64 = 256 * 1024;
 
+/// A reset within some round trips of the send tells of the connection, a later one of the server.
+const STALE_TIME: Duration = Duration::from_millis(250);
+/// Rest below which a connection is as good as a new one.
+const STALE_REST: Duration = Duration::from_millis(50);
+
 /// A send counts against its server after this many usual durations; one in thirty takes longer at
 /// a sound server.
 const OVERDUE: u32 = 3;
@@ -70,16 +74,16 @@
     let begin = context.now();
     let left = intake.deadline.saturating_sub(begin);
     let request = build(&context, &intake, &slot, body, left);
-    let terms = Terms {
-        connections: slot.grant.server.connections,
-        fresh: !intake.route.repeat.is_idempotent(),
-    };
+    let terms = slot.terms();
     let address = slot.grant.server.address;
     let sending = context.pool.send(address, terms, request);
     let overdue = overdue(&context, &intake);
     let whole = async {
         match sending.await {
-            Ok(reply) => Ok(check(&context, &intake, reply).await),
+            Ok(reply) => {
+                let rested = reply.body().rested();
+                Ok((rested, check(&context, &intake, reply).await))
+            }
             Err(err) => Err(err),
         }
     };
@@ -93,7 +97,12 @@
         }
     };
     match result {
-        Ok(Ok(checked)) => settle(&context, &intake, checked, slot, begin),
+        Ok(Ok((rested, checked))) => {
+            if let Some(rest) = rested {
+                slot.rested(rest);
+            }
+            settle(&context, &intake, checked, slot, begin)
+        }
         Ok(Err(SendError::Unsent { request, why })) => {
             report(&intake, &slot, "unreachable", &why);
             slot.end(Ending::Bad(Evidence::Unreachable));
@@ -103,9 +112,17 @@
                 body: Some(request.into_body()),
             }
         }
-        Ok(Err(SendError::Lost(error))) => {
-            report(&intake, &slot, "cut", &error);
-            slot.end(Ending::Bad(Evidence::Cut));
+        Ok(Err(SendError::Lost { why, rested })) => {
+            let took = context.now().saturating_sub(begin);
+            if let Some(rest) = rested.filter(|rest| *rest > STALE_REST && took < STALE_TIME) {
+                let why = format!("{why} after a rest of {} ms", rest.as_millis());
+                report(&intake, &slot, "stale", &why);
+                slot.stale(rest);
+                slot.end(Ending::Bad(Evidence::Stale));
+            } else {
+                report(&intake, &slot, "cut", &why);
+                slot.end(Ending::Bad(Evidence::Cut));
+            }
             Outcome::Lost { reason: "cut" }
         }
         Err(_) => {
--- a/crates/wb-gateway/src/front/slot.rs
+++ b/crates/wb-gateway/src/front/slot.rs
@@ -15,6 +15,7 @@
 use wb_balance::balancer::Change;
 use wb_event::Event;
 use wb_event::line;
+use wb_http::pool::Terms;
 
 use super::intake::Intake;
 use crate::Context;
@@ -141,6 +142,32 @@
         self.give_back(ending);
     }
 
+    /// Terms of a connection for the request.
+    pub fn terms(&self) -> Terms {
+        let repeatable = self.intake.route.repeat.is_idempotent();
+        let mut state = self.context.state();
+        let service = state.service(&self.intake.service, &self.context);
+        Terms {
+            connections: self.grant.server.connections,
+            rest: service.rests.limit(repeatable),
+        }
+    }
+
+    /// Takes a connection that answered after a rest.
+    pub fn rested(&self, rest: Duration) {
+        let mut state = self.context.state();
+        let service = state.service(&self.intake.service, &self.context);
+        service.rests.good(rest);
+    }
+
+    /// Takes a connection that was reset after a rest. Others to its server may be stale as well.
+    pub fn stale(&self, rest: Duration) {
+        self.context.pool.forget(self.grant.server.address);
+        let mut state = self.context.state();
+        let service = state.service(&self.intake.service, &self.context);
+        service.rests.reset(rest);
+    }
+
     /// Takes evidence while the request is still running.
     pub fn note(&self, evidence: Evidence) {
         let now = self.context.now();
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -10,6 +10,7 @@
 use wb_balance::Listed;
 use wb_balance::Options;
 use wb_balance::Refusal;
+use wb_balance::Rests;
 use wb_balance::RetryBudget;
 use wb_balance::WaitKey;
 use wb_types::id::Moment;
@@ -32,6 +33,8 @@
 pub struct Service {
     /// Decisions.
     pub balancer: Balancer,
+    /// Rests of connections to the servers.
+    pub rests: Rests,
     waiters: HashMap<WaitKey, oneshot::Sender<Verdict>>,
     /// Servers that gave a whole answer since others were told last.
     good: HashSet<ServerName>,
@@ -51,6 +54,7 @@
         );
         Self {
             balancer: Balancer::new(options, budget),
+            rests: Rests::default(),
             waiters: HashMap::new(),
             good: HashSet::new(),
         }
--- a/crates/wb-http/src/call.rs
+++ b/crates/wb-http/src/call.rs
@@ -119,14 +119,11 @@
     }
 
     async fn exchange(&self, request: Request<crate::Body>) -> Result<Whole, CallError> {
-        let terms = Terms {
-            connections: CONNECTIONS,
-            fresh: false,
-        };
+        let terms = Terms::new(CONNECTIONS, true);
         let sent = self.pool.send(self.address, terms, request).await;
         let reply = sent.map_err(|err| match err {
             crate::SendError::Unsent { why, .. } => CallError::NotSent(why),
-            crate::SendError::Lost(why) => CallError::NoAnswer(why),
+            crate::SendError::Lost { why, .. } => CallError::NoAnswer(why),
         })?;
         let status = reply.status();
         let body = body::read(reply.into_body(), ANSWER_MAX, self.timeout)
--- a/crates/wb-http/src/pool/answer.rs
+++ b/crates/wb-http/src/pool/answer.rs
@@ -4,6 +4,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -19,6 +20,7 @@
 pub struct Answer {
     body: Incoming,
     held: Option<Held>,
+    rested: Option<Duration>,
 }
 
 struct Held {
@@ -27,8 +29,9 @@
 }
 
 impl Answer {
-    pub(super) fn new(body: Incoming, idle: Idle, pool: Pool) -> Self {
+    pub(super) fn new(body: Incoming, rested: Option<Duration>, idle: Idle, pool: Pool) -> Self {
         let mut answer = Self {
+            rested,
             body,
             held: Some(Held { idle, pool }),
         };
@@ -38,11 +41,17 @@
         answer
     }
 
+    /// How long the connection had waited unused, unless it was new.
+    pub fn rested(&self) -> Option<Duration> {
+        self.rested
+    }
+
     fn give_back(&mut self) {
         let Some(held) = self.held.take() else {
             return;
         };
         let Held { mut idle, pool } = held;
+        idle.used = true;
         idle.since = Instant::now();
         if idle.sender.is_ready() {
             pool.put_idle(idle);
--- a/crates/wb-http/src/pool/connect.rs
+++ b/crates/wb-http/src/pool/connect.rs
@@ -16,9 +16,6 @@
 use super::Pool;
 use super::Terms;
 
-/// Time after which a connection that was unused for this long is not taken for work that must
-/// not be repeated.
-const FRESH: Duration = Duration::from_secs(2);
 /// Shortest interval of keep-alive probes; the system counts whole seconds.
 const KEEPALIVE_MIN: Duration = Duration::from_secs(1);
 /// Largest head of an answer, in bytes.
@@ -26,11 +23,7 @@
 
 impl Pool {
     pub(super) fn take_idle(&self, address: SocketAddr, terms: Terms) -> Option<Idle> {
-        let limit = if terms.fresh {
-            FRESH
-        } else {
-            self.inner.options.idle
-        };
+        let limit = terms.rest.min(self.inner.options.idle);
         let mut stale = Vec::new();
         let mut hosts = self.inner.hosts.lock().expect("no holder panics");
         let host = hosts.get_mut(&address)?;
@@ -68,6 +61,7 @@
             sender,
             guard,
             since: Instant::now(),
+            used: false,
         })
     }
 
--- a/crates/wb-http/src/pool/mod.rs
+++ b/crates/wb-http/src/pool/mod.rs
@@ -27,6 +27,10 @@
 /// closes it, so that no request meets the close.
 const IDLE: Duration = Duration::from_secs(4);
 
+/// Time after which a connection that was unused for this long is not taken for work that must
+/// not be repeated.
+const REST_ONCE: Duration = Duration::from_secs(2);
+
 /// Settings of a [`Pool`].
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -60,8 +64,13 @@
         why: String,
     },
     /// The request was handed over, and no head of an answer came.
-    #[error("no answer: {0}")]
-    Lost(String),
+    #[error("no answer: {why}")]
+    Lost {
+        /// What went wrong.
+        why: String,
+        /// How long the connection had waited unused, unless it was new.
+        rested: Option<Duration>,
+    },
 }
 
 /// A connection that waits for its next request.
@@ -69,6 +78,13 @@
     sender: SendRequest<Body>,
     guard: OpenGuard,
     since: Instant,
+    used: bool,
+}
+
+impl Idle {
+    fn rested(&self) -> Option<Duration> {
+        self.used.then(|| self.since.elapsed())
+    }
 }
 
 /// Connections to one server.
@@ -109,13 +125,23 @@
 pub struct Terms {
     /// Connections that may be open to the server.
     pub connections: u32,
-    /// Whether a connection must not have waited unused for long: it may have gone silent.
-    pub fresh: bool,
+    /// Longest time that a connection may have waited unused: it may have gone silent.
+    pub rest: Duration,
 }
 
 /// Head of an answer; its body gives the connection back once it is read whole.
 pub type Reply = Response<Answer>;
 
+impl Terms {
+    /// For work that can or can't be repeated.
+    pub fn new(connections: u32, repeatable: bool) -> Self {
+        Self {
+            connections,
+            rest: if repeatable { Duration::MAX } else { REST_ONCE },
+        }
+    }
+}
+
 impl Pool {
     /// A pool without connections.
     pub fn new(options: Options) -> Self {
--- a/crates/wb-http/src/pool/send.rs
+++ b/crates/wb-http/src/pool/send.rs
@@ -43,17 +43,21 @@
 
     async fn hand_over(&self, idle: Idle, request: Request<Body>) -> Result<Reply, SendError> {
         let mut idle = idle;
+        let rested = idle.rested();
         match idle.sender.try_send_request(request).await {
             Ok(response) => {
                 let pool = self.clone();
-                Ok(response.map(|body| Answer::new(body, idle, pool)))
+                Ok(response.map(|body| Answer::new(body, rested, idle, pool)))
             }
             Err(mut err) => match err.take_message() {
                 Some(request) => Err(SendError::Unsent {
                     request: Box::new(request),
                     why: err.error().to_string(),
                 }),
-                None => Err(SendError::Lost(err.error().to_string())),
+                None => Err(SendError::Lost {
+                    why: err.error().to_string(),
+                    rested,
+                }),
             },
         }
     }
--- a/crates/wb-http/tests/pool.rs
+++ b/crates/wb-http/tests/pool.rs
@@ -15,7 +15,7 @@
 
 const TERMS: Terms = Terms {
     connections: 2,
-    fresh: false,
+    rest: Duration::MAX,
 };
 
 /// A server that answers each connection with these bytes and then closes it.
--- a/crates/wb-load/src/caller/send.rs
+++ b/crates/wb-load/src/caller/send.rs
@@ -37,10 +37,7 @@
 
     /// Sends a request to an address.
     pub async fn send_to(&self, address: SocketAddr, ask: &Ask) -> Fate {
-        let terms = Terms {
-            connections: CONNECTIONS,
-            fresh: ask.order.is_some(),
-        };
+        let terms = Terms::new(CONNECTIONS, ask.order.is_none());
         let sent = self.pool.send(address, terms, self.request(ask));
         let exchange = async {
             match sent.await {
@@ -49,7 +46,7 @@
                     take(ask, parts.status.as_u16(), &parts.headers, body).await
                 }
                 Err(SendError::Unsent { .. }) => Fate::Unsent,
-                Err(SendError::Lost(_)) => Fate::Lost,
+                Err(SendError::Lost { .. }) => Fate::Lost,
             }
         };
         let whole = tokio::time::timeout(ask.patience, exchange).await;
--- a/crates/wb-soak/src/caller.rs
+++ b/crates/wb-soak/src/caller.rs
@@ -166,10 +166,7 @@
             .body(body::full(if once { vec![1; 300] } else { Vec::new() }))
             .expect("a request");
         let at = Instant::now();
-        let terms = Terms {
-            connections: 64,
-            fresh: false,
-        };
+        let terms = Terms::new(64, true);
         let whole = async {
             let reply = self.pool.send(address, terms, request).await.ok()?;
             let (head, rest) = reply.into_parts();
