--- a/crates/wb-balance/src/rest.rs
+++ b/crates/wb-balance/src/rest.rs
@@ -6,9 +6,9 @@
 
 use std::time::Duration;
 
-/// Rest that is taken to be safe before anything is known: a fifth of the shortest time after
-/// which servers usually close connections.
-const START: Duration = Duration::from_millis(200);
+/// Rest that is taken to be safe until a connection is reset: a fifth of the servers' usual ten
+/// seconds.
+const START: Duration = Duration::from_secs(2);
 /// Shortest rest that is still used, some round trips: below it, a reset tells of the server.
 const LEAST: Duration = Duration::from_millis(50);
 /// Longest rest that is used, below the servers' usual ten seconds.
@@ -57,9 +57,12 @@
         }
     }
 
-    /// Takes a connection that was reset at its first use after a rest.
-    pub fn reset(&mut self, rest: Duration) {
+    /// Takes a connection that was reset at its first use after a rest, here or at another
+    /// instance. Returns whether that was thought safe, or tried out.
+    pub fn reset(&mut self, rest: Duration) -> bool {
+        let news = rest <= self.limit(true);
         self.good = 0;
         self.safe = (rest / STEP).clamp(LEAST, self.safe);
+        news
     }
 }
--- a/crates/wb-gateway/src/front/slot.rs
+++ b/crates/wb-gateway/src/front/slot.rs
@@ -165,7 +165,13 @@
         self.context.pool.forget(self.grant.server.address);
         let mut state = self.context.state();
         let service = state.service(&self.intake.service, &self.context);
-        service.rests.reset(rest);
+        let news = service.rests.reset(rest);
+        let to = state.steering.everyone();
+        drop(state);
+        if news {
+            let service = self.intake.service.clone();
+            self.context.tell(Packet::Stale { service, rest }, to);
+        }
     }
 
     /// Takes evidence while the request is still running.
--- a/crates/wb-gateway/src/peers/hear.rs
+++ b/crates/wb-gateway/src/peers/hear.rs
@@ -40,6 +40,12 @@
             line!(Event::Member, member = from, liveness = "left");
             beat::choose(context, &mut state);
         }
+        Packet::Stale { service, rest } => {
+            let mut state = context.state();
+            if let Some(service) = state.services.get_mut(&service) {
+                service.rests.reset(rest);
+            }
+        }
     }
 }
 
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -52,6 +52,13 @@
         /// Sender.
         from: InstanceName,
     },
+    /// A connection was reset at its first use after a rest.
+    Stale {
+        /// Service of the server.
+        service: ServiceName,
+        /// Time that the connection was unused.
+        rest: Duration,
+    },
 }
 
 /// What a beat says.
