--- a/crates/wb-balance/src/rest.rs
+++ b/crates/wb-balance/src/rest.rs
@@ -4,8 +4,14 @@
 //! on one is reset, and an order that meets the reset has an unknown end. Requests that can be
 //! repeated try out longer rests; orders use those that were found safe.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+use wb_types::id::Moment;
+use wb_types::id::ServerName;
+
 /// Rest that is taken to be safe until a connection is reset: a fifth of the servers' usual ten
 /// seconds.
 const START: Duration = Duration::from_secs(2);
@@ -18,12 +24,37 @@
 const PROVEN: u32 = 30;
 /// Factor from the safe rest to the one tried out, and from step to step.
 const STEP: u32 = 2;
+/// Resets after which rests are taken to be the cause, if the servers were sound otherwise.
+const CONFIRMED: f64 = 3.5;
+/// Resets of servers that were sound for each of a server that was sick: those that are mildly sick
+/// answer seven in ten requests, and pass as sound as often.
+const SOUND_PART: f64 = 6.0;
+/// Time constant of both counts: some sends to each server at a calm hour.
+const FADE: Duration = Duration::from_secs(5);
+
+/// Time after which a reset is left unexplained, twice the time constant.
+const OPEN_LIFE: Duration = Duration::from_secs(10);
+
+/// What a reset after a rest was due to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// The rest: the server answered on the next new connection.
+    Rest(Duration),
+    /// The server: it failed on the next new connection, too.
+    Server,
+}
 
 /// Rests of connections to the servers of one service.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Rests {
     safe: Duration,
     good: u32,
+    /// Servers that reset a connection after a rest, and have not been asked on a new one since.
+    open: HashMap<ServerName, (Duration, Moment)>,
+    rested: f64,
+    sick: f64,
+    last: Moment,
 }
 
 impl Default for Rests {
@@ -31,6 +62,10 @@
         Self {
             safe: START,
             good: 0,
+            open: HashMap::new(),
+            rested: 0.0,
+            sick: 0.0,
+            last: Moment::ZERO,
         }
     }
 }
@@ -57,12 +92,40 @@
         }
     }
 
-    /// Takes a connection that was reset at its first use after a rest, here or at another
-    /// instance. Returns whether that was thought safe, or tried out.
-    pub fn reset(&mut self, rest: Duration) -> bool {
-        let news = rest <= self.limit(true);
-        self.good = 0;
-        self.safe = (rest / STEP).clamp(LEAST, self.safe);
-        news
+    /// Takes a connection that was reset at its first use after a rest. The server's next new
+    /// connection tells why.
+    pub fn reset(&mut self, server: &ServerName, rest: Duration, now: Moment) {
+        self.open
+            .retain(|_, (_, at)| now.saturating_sub(*at) < OPEN_LIFE);
+        self.open.insert(server.clone(), (rest, now));
+    }
+
+    /// Takes the end of a send on a new connection. Returns what an earlier reset was due to.
+    pub fn fresh(&mut self, server: &ServerName, answered: bool) -> Option<Cause> {
+        let (rest, _) = self.open.remove(server)?;
+        Some(if answered {
+            Cause::Rest(rest)
+        } else {
+            Cause::Server
+        })
+    }
+
+    /// Takes the cause of a reset, found here or at another instance.
+    pub fn learn(&mut self, cause: Cause, now: Moment) {
+        let passed = now.saturating_sub(self.last).as_secs_f64();
+        let fade = (-passed / FADE.as_secs_f64()).exp();
+        self.last = now;
+        self.rested *= fade;
+        self.sick *= fade;
+        match cause {
+            Cause::Server => self.sick += 1.0,
+            Cause::Rest(rest) => {
+                self.rested += 1.0;
+                if self.rested >= CONFIRMED && self.rested >= SOUND_PART * self.sick {
+                    self.good = 0;
+                    self.safe = (rest / STEP).clamp(LEAST, self.safe);
+                }
+            }
+        }
     }
 }
--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -54,6 +54,8 @@
     RosterChanged = 304,
     /// A row of the platform can't be read.
     RowUnreadable = 306,
+    /// A new connection told why an earlier one of the server was reset.
+    ResetExplained = 307,
     /// A member's liveness changed.
     Member = 401,
     /// The homes and owners of a service changed.
--- a/crates/wb-gateway/src/front/attempt.rs
+++ b/crates/wb-gateway/src/front/attempt.rs
@@ -98,13 +98,15 @@
     };
     match result {
         Ok(Ok((rested, checked))) => {
-            if let Some(rest) = rested {
-                slot.rested(rest);
+            match rested {
+                Some(rest) => slot.rested(rest),
+                None => slot.fresh(true),
             }
             settle(&context, &intake, checked, slot, begin)
         }
         Ok(Err(SendError::Unsent { request, why })) => {
             report(&intake, &slot, "unreachable", &why);
+            slot.fresh(false);
             slot.end(Ending::Bad(Evidence::Unreachable));
             Outcome::Unrun {
                 reason: "unreachable",
@@ -120,6 +122,9 @@
                 slot.stale(rest);
                 slot.end(Ending::Bad(Evidence::Stale));
             } else {
+                if rested.is_none() {
+                    slot.fresh(false);
+                }
                 report(&intake, &slot, "cut", &why);
                 slot.end(Ending::Bad(Evidence::Cut));
             }
--- a/crates/wb-gateway/src/front/slot.rs
+++ b/crates/wb-gateway/src/front/slot.rs
@@ -162,16 +162,32 @@
 
     /// Takes a connection that was reset after a rest. Others to its server may be stale as well.
     pub fn stale(&self, rest: Duration) {
+        let now = self.context.now();
         self.context.pool.forget(self.grant.server.address);
         let mut state = self.context.state();
         let service = state.service(&self.intake.service, &self.context);
-        let news = service.rests.reset(rest);
+        service.rests.reset(&self.grant.server.name, rest, now);
+    }
+
+    /// Takes the end of a send on a new connection, which tells why an earlier one was reset.
+    pub fn fresh(&self, answered: bool) {
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let service = state.service(&self.intake.service, &self.context);
+        let Some(cause) = service.rests.fresh(&self.grant.server.name, answered) else {
+            return;
+        };
+        service.rests.learn(cause, now);
         let to = state.steering.everyone();
         drop(state);
-        if news {
-            let service = self.intake.service.clone();
-            self.context.tell(Packet::Stale { service, rest }, to);
-        }
+        let service = self.intake.service.clone();
+        line!(
+            Event::ResetExplained,
+            service = service,
+            server = self.grant.server.name,
+            cause = cause
+        );
+        self.context.tell(Packet::Stale { service, cause }, to);
     }
 
     /// Takes evidence while the request is still running.
--- a/crates/wb-gateway/src/peers/hear.rs
+++ b/crates/wb-gateway/src/peers/hear.rs
@@ -40,10 +40,10 @@
             line!(Event::Member, member = from, liveness = "left");
             beat::choose(context, &mut state);
         }
-        Packet::Stale { service, rest } => {
+        Packet::Stale { service, cause } => {
             let mut state = context.state();
             if let Some(service) = state.services.get_mut(&service) {
-                service.rests.reset(rest);
+                service.rests.learn(cause, context.now());
             }
         }
     }
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use wb_balance::Evidence;
+use wb_balance::rest::Cause;
 use wb_members::listing::Mark;
 use wb_members::listing::Update;
 use wb_members::steer::Card;
@@ -56,8 +57,8 @@
     Stale {
         /// Service of the server.
         service: ServiceName,
-        /// Time that the connection was unused.
-        rest: Duration,
+        /// What it was due to.
+        cause: Cause,
     },
 }
 
