fix: sound servers that orders pass by are visited before suspects are tried

The test (60 of 100 servers suspect, more trials due than requests come) visited none of the 40 sound ones before, all after.

--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -71,14 +71,14 @@
         if !left {
             return Self::refuse(Cause::NoServer, AFTER_MIN);
         }
-        // A trial takes no slot that those who wait could have.
-        if let Some(key) = self.due(&ask, now) {
-            return Offer::Go(self.grant(key, now));
-        }
         let ahead = self.ahead(&ask);
-        if ahead == 0
-            && let Some(key) = self.pick(&ask, self.is_desperate(&ask, now, now), now)
-        {
+        let key = if ahead == 0 {
+            self.pick(&ask, self.is_desperate(&ask, now, now), now)
+        } else {
+            // A trial takes no slot that those who wait could have.
+            self.due(&ask, now)
+        };
+        if let Some(key) = key {
             return Offer::Go(self.grant(key, now));
         }
         let wait = self.wait(ahead + 1);
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -1,6 +1,9 @@
 //! Choice of a server.
 
+use std::time::Duration;
+
 use rand::Rng;
+use rand::seq::IteratorRandom;
 use wb_types::id::Moment;
 
 use super::Ask;
@@ -18,6 +21,9 @@
 /// Share of failed sends from which failures are common; the floor of servers in use is counted
 /// from a tenth on.
 const COMMON: f64 = 0.09;
+/// Time without a whole answer after which a server is visited before suspects are tried: half of
+/// the time in which each sound server should get work.
+const NEGLECT: Duration = Duration::from_secs(1);
 /// Usual durations that must be left for a trial, so that the request can be sent again.
 const TRIAL_ROOM: u32 = 3;
 /// Share of slots above which a server counts as nearly full.
@@ -45,7 +51,7 @@
 impl Balancer {
     /// A server for a request, if one is free. `desperate` lets it go to a suspect.
     pub(super) fn pick(&self, ask: &Ask, desperate: bool, now: Moment) -> Option<ServerKey> {
-        if let Some(key) = self.due(ask, now) {
+        if let Some(key) = self.neglected(ask, now).or_else(|| self.due(ask, now)) {
             return Some(key);
         }
         let sound = self.cheapest(ask, now, |entry| !entry.trust.is_suspect());
@@ -65,6 +71,21 @@
         })
     }
 
+    /// A server that is not suspect and that nobody has heard of for long, if the request may run
+    /// again. Where many servers are suspect, their trials could use up all such requests, and sound
+    /// servers that orders pass by would stay idle.
+    fn neglected(&self, ask: &Ask, now: Moment) -> Option<ServerKey> {
+        if !ask.may_explore() {
+            return None;
+        }
+        let servers = self.servers.iter().filter(|(_, entry)| {
+            let trust = &entry.trust;
+            let idle = entry.is_usable() && entry.load() == 0 && now >= entry.rest;
+            idle && !trust.is_suspect() && trust.age(now).is_none_or(|age| age > NEGLECT)
+        });
+        servers.choose(&mut rand::rng()).map(|(key, _)| key)
+    }
+
     /// The suspect whose trial is due longest, if the request may run again and has time for it.
     pub(super) fn due(&self, ask: &Ask, now: Moment) -> Option<ServerKey> {
         let room = self.usual(&ask.route) * TRIAL_ROOM;
--- a/crates/wb-balance/tests/choice.rs
+++ b/crates/wb-balance/tests/choice.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use support::USUAL;
 use support::ask;
 use support::at;
 use support::cut_one;
@@ -43,6 +44,27 @@
     assert_ne!(*next.server.name, *sick, "one trial at a time");
 }
 
+#[test]
+fn sound_servers_are_visited_though_more_trials_are_due_than_requests_come() {
+    let mut balancer = service(100, 6);
+    prove(&mut balancer, 100, at(0));
+    let sick: HashSet<String> = (0..60).map(|_| cut_one(&mut balancer, at(10))).collect();
+    let mut visited = HashSet::new();
+    for tick in 0..100 {
+        let now = at(1500 + tick * 20);
+        let grant = go(balancer.offer(ask(true, now), now));
+        let name = grant.server.name.clone();
+        let ending = if sick.contains(&*name) {
+            Ending::Bad(Evidence::Cut)
+        } else {
+            visited.insert(name);
+            Ending::Good(USUAL)
+        };
+        balancer.finish(grant.key, "orders", ending, now);
+    }
+    assert_eq!(visited.len(), 100 - sick.len());
+}
+
 #[test]
 fn a_request_that_may_be_sent_once_only_tries_nothing() {
     let mut balancer = service(3, 6);
