--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -29,10 +29,24 @@
 
 impl Balancer {
     /// Own requests running at each server that has any.
-    pub fn running(&self) -> HashMap<ServerName, u32> {
-        let busy = self.servers.values().filter(|entry| entry.running > 0);
-        busy.map(|entry| (entry.server.name.clone(), entry.running))
-            .collect()
+    pub fn running(&mut self) -> HashMap<ServerName, u32> {
+        self.tell(|entry| entry.running > 0)
+    }
+
+    /// Requests that run at each server where their number has changed since others were told.
+    pub fn running_changes(&mut self) -> HashMap<ServerName, u32> {
+        self.tell(|entry| entry.running != entry.told)
+    }
+
+    fn tell(&mut self, fits: impl Fn(&Entry) -> bool) -> HashMap<ServerName, u32> {
+        let mut told = HashMap::new();
+        for entry in self.servers.values_mut() {
+            if fits(entry) {
+                told.insert(entry.server.name.clone(), entry.running);
+            }
+            entry.told = entry.running;
+        }
+        told
     }
 
     /// Requests that wait.
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -146,6 +146,8 @@
     trust: Trust,
     /// Own requests running there.
     running: u32,
+    /// The number of those that others were told last.
+    told: u32,
     /// Requests that other instances have running there.
     others: HashMap<InstanceName, u32>,
     /// Duration of its work against the usual.
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -80,6 +80,7 @@
             server: listed.server.clone(),
             trust: Trust::default(),
             running: 0,
+            told: 0,
             others: HashMap::new(),
             pace: 1.0,
             shed: 0.0,
@@ -109,6 +110,21 @@
         }
     }
 
+    /// Takes what has changed of what another instance has running.
+    pub fn note_running(&mut self, from: &InstanceName, counts: &HashMap<ServerName, u32>) {
+        for (server, count) in counts {
+            let key = self.names.get(server).copied();
+            let Some(entry) = key.and_then(|key| self.servers.get_mut(key)) else {
+                continue;
+            };
+            if *count == 0 {
+                entry.others.remove(from);
+            } else {
+                entry.others.insert(from.clone(), *count);
+            }
+        }
+    }
+
     /// Forgets what another instance had running, since it is gone.
     pub fn forget(&mut self, from: &str) {
         for entry in self.servers.values_mut() {
--- a/crates/wb-balance/tests/choice.rs
+++ b/crates/wb-balance/tests/choice.rs
@@ -145,6 +145,23 @@
     assert_eq!(balancer.pump(at(1)).len(), 1);
 }
 
+#[test]
+fn counts_of_running_work_are_told_when_they_change() {
+    let mut home = service(2, 2);
+    let mut other = service(2, 1);
+    let grant = go(home.offer(ask(false, at(0)), at(0)));
+    let changes = home.running_changes();
+    assert_eq!(changes, HashMap::from([(grant.server.name.clone(), 1)]));
+    assert!(home.running_changes().is_empty());
+    other.note_running(&"home".into(), &changes);
+    let elsewhere = go(other.offer(ask(false, at(0)), at(0)));
+    assert_ne!(elsewhere.server.name, grant.server.name);
+    home.finish(grant.key, "orders", Ending::Good(USUAL), at(300));
+    other.note_running(&"home".into(), &home.running_changes());
+    let back = go(other.offer(ask(false, at(300)), at(300)));
+    assert_eq!(back.server.name, grant.server.name);
+}
+
 #[test]
 fn a_nearer_server_is_preferred_while_it_has_room() {
     let mut balancer = service(1, 6);
--- a/crates/wb-gateway/src/peers/beat.rs
+++ b/crates/wb-gateway/src/peers/beat.rs
@@ -11,6 +11,7 @@
 
 use super::Packet;
 use super::packet::Beat;
+use super::packet::Running;
 use crate::Context;
 use crate::context::State;
 
@@ -19,6 +20,9 @@
 /// Time between the counts of running requests that homes tell each other; a fifth of a usual
 /// request.
 const RUNNING: Duration = Duration::from_millis(60);
+/// Every so many times all of it is told, and else what has changed: a lost datagram leaves the
+/// others wrong for a second.
+const WHOLE: u32 = 16;
 /// Processor share that the homes need for each slot of the backend servers, in cores: a
 /// thousandth of a core carries one request a second, of which a slot takes two.
 const CORES_PER_SLOT: f32 = 0.0015;
@@ -94,11 +98,29 @@
     state.spread(context, now);
 }
 
+/// What is running, or what has changed of it.
+fn running(state: &mut State, whole: bool) -> Running {
+    let services = state.services.iter_mut();
+    let counts = services.map(|(name, service)| {
+        let balancer = &mut service.balancer;
+        let counts = if whole {
+            balancer.running()
+        } else {
+            balancer.running_changes()
+        };
+        (name.clone(), counts)
+    });
+    counts.filter(|(_, counts)| !counts.is_empty()).collect()
+}
+
 /// Tells the other homes what is running, until the daemon ends.
 pub async fn tell_running(context: Arc<Context>) {
-    let mut last = None;
+    let mut rounds = 0u32;
+    let mut told = false;
     loop {
         tokio::time::sleep(RUNNING).await;
+        rounds = rounds.wrapping_add(1);
+        let whole = rounds.is_multiple_of(WHOLE);
         let mut state = context.state();
         let good: HashMap<ServiceName, Vec<ServerName>> = state
             .services
@@ -106,24 +128,23 @@
             .map(|(name, service)| (name.clone(), service.take_good()))
             .filter(|(_, servers)| !servers.is_empty())
             .collect();
-        if !state.steering.is_home() && last.is_none() {
+        if !state.steering.is_home() && !told {
             continue;
         }
-        let counts = state.services.iter();
-        let running: super::packet::Running = counts
-            .map(|(name, service)| (name.clone(), service.balancer.running()))
-            .filter(|(_, running)| !running.is_empty())
-            .collect();
-        if last.as_ref() == Some(&running) && good.is_empty() {
+        let running = running(&mut state, whole);
+        // An instance that has nothing running says so once more, and then nothing.
+        let idle = running.is_empty() && good.is_empty();
+        if idle && !(whole && told) {
             continue;
         }
+        told = !idle || !whole;
         let from = state.steering.own().name.clone();
         let packet = Packet::Running {
             from,
-            running: running.clone(),
+            whole,
+            running,
             good,
         };
         context.tell(packet, state.steering.other_homes());
-        last = Some(running);
     }
 }
--- a/crates/wb-gateway/src/peers/hear.rs
+++ b/crates/wb-gateway/src/peers/hear.rs
@@ -26,7 +26,8 @@
             from,
             running,
             good,
-        } => hear_running(context, &from, &running, &good),
+            whole,
+        } => hear_running(context, &from, whole, &running, &good),
         Packet::Learnt {
             from,
             service,
@@ -80,6 +81,7 @@
 fn hear_running(
     context: &Context,
     from: &InstanceName,
+    whole: bool,
     running: &Running,
     good: &HashMap<ServiceName, Vec<ServerName>>,
 ) {
@@ -88,7 +90,11 @@
     let none = HashMap::new();
     for (name, service) in &mut state.services {
         let counts = running.get(name).unwrap_or(&none);
-        service.balancer.set_running(from, counts);
+        if whole {
+            service.balancer.set_running(from, counts);
+        } else {
+            service.balancer.note_running(from, counts);
+        }
         if let Some(servers) = good.get(name) {
             service.balancer.hear_good(servers, now);
         }
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -26,10 +26,12 @@
 pub enum Packet {
     /// An instance is alive.
     Beat(Box<Beat>),
-    /// What an instance has running, in place of what it said before.
+    /// What an instance has running.
     Running {
         /// Sender.
         from: InstanceName,
+        /// Whether this is all, in place of what it said before, or only what has changed.
+        whole: bool,
         /// Counts.
         running: Running,
         /// Servers that gave a whole answer since the last such packet.
