fix: routes come from another instance while the platform is out of reach for one

It asked the store alone, whose calls hung for 1.2 s each, then waited and asked two instances over connections that had gone silent. Now it asks the instance that told it, after 300 ms without an answer of the store, over a new connection; a wait after an error ends with such news.

--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -68,6 +68,8 @@
     PacketUnreadable = 405,
     /// A datagram is larger than a packet of the network.
     PacketTooLarge = 406,
+    /// An instance that was asked for what it knows did not answer.
+    PeerSilent = 407,
     /// A higher version of the policy table is in force.
     TableApplied = 501,
     /// An edit was decided.
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -32,6 +32,8 @@
     pub routes: Option<Arc<RouteTable>>,
     /// Mark up to which they are the newest.
     pub route_mark: u64,
+    /// An instance that said that it has newer routes.
+    pub ahead: Option<SocketAddr>,
     /// When the routes were last confirmed to be the newest.
     pub routes_seen: Moment,
     /// Backend servers.
@@ -97,6 +99,7 @@
         let state = State {
             routes: None,
             route_mark: 0,
+            ahead: None,
             routes_seen: Moment::ZERO,
             listing: Listing::default(),
             listing_seen: Moment::ZERO,
--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -1,5 +1,6 @@
 //! Routes as the platform has them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,9 @@
 /// the time in which they must be in force.
 const GATHER: Duration = Duration::from_millis(250);
 
+/// Wait for the platform's answer before another instance is asked, a few usual answers.
+const PATIENCE: Duration = Duration::from_millis(300);
+
 /// Follows the routes until the daemon ends.
 pub async fn run(context: Arc<Context>) {
     let mut watch = Watch::new("routes");
@@ -37,8 +41,15 @@
             }
             Err(Error::Forgotten) => context.state().route_mark = 0,
             Err(_) => {
-                ask_peers(&context).await;
-                backoff.wait().await;
+                let pause = async {
+                    ask_peers(&context).await;
+                    backoff.wait().await;
+                };
+                tokio::select! {
+                    () = pause => {}
+                    // Another instance has newer ones.
+                    () = context.routes_due.notified() => context.routes_due.notify_one(),
+                }
             }
         }
     }
@@ -52,7 +63,31 @@
     }
     tokio::select! {
         result = context.catalog.next_routes(mark, WAIT) => result,
-        () = context.routes_due.notified() => context.catalog.routes().await,
+        () = context.routes_due.notified() => newest(context).await,
+    }
+}
+
+/// Asks for the newest routes, and meanwhile the instance that has them, if the platform takes
+/// long or is out of reach for this instance alone.
+async fn newest(context: &Context) -> Result<Routes, Error> {
+    let asked = context.catalog.routes();
+    tokio::pin!(asked);
+    let early = tokio::time::timeout(PATIENCE, &mut asked).await;
+    if let Ok(Ok(routes)) = early {
+        return Ok(routes);
+    }
+    let ahead = context.state().ahead.take();
+    let told = async {
+        if let Some(address) = ahead {
+            learn(context, address).await;
+        }
+    };
+    match early {
+        Ok(failed) => {
+            told.await;
+            failed
+        }
+        Err(_) => tokio::join!(asked, told).0,
     }
 }
 
@@ -102,22 +137,33 @@
     let mut addresses = context.state().steering.other_homes();
     addresses.extend(&context.settings.seeds);
     for address in addresses.into_iter().take(2) {
-        let Ok(whole) = whole::fetch(context, address).await else {
-            continue;
-        };
-        let now = context.now();
-        let mut state = context.state();
-        for card in whole.cards {
-            state.steering.learn(card, now);
-        }
-        if let Some(table) = whole.routes {
-            apply(context, &mut state, table, "peer");
+        if learn(context, address).await {
+            return;
         }
-        let behind = whole.listing > state.listing.mark();
-        if let Some(mark) = whole.listing.filter(|_| behind) {
-            let changed = state.listing.replace(mark, whole.rows, now);
-            super::servers::changed(context, &mut state, &changed, "peer");
+    }
+}
+
+/// Takes what another instance knows. Returns whether it said so.
+async fn learn(context: &Context, address: SocketAddr) -> bool {
+    let whole = match whole::fetch(context, address).await {
+        Ok(whole) => whole,
+        Err(err) => {
+            line!(Event::PeerSilent, peer = address, error = err.to_string());
+            return false;
         }
-        return;
+    };
+    let now = context.now();
+    let mut state = context.state();
+    for card in whole.cards {
+        state.steering.learn(card, now);
+    }
+    if let Some(table) = whole.routes {
+        apply(context, &mut state, table, "peer");
     }
+    let behind = whole.listing > state.listing.mark();
+    if let Some(mark) = whole.listing.filter(|_| behind) {
+        let changed = state.listing.replace(mark, whole.rows, now);
+        super::servers::changed(context, &mut state, &changed, "peer");
+    }
+    true
 }
--- a/crates/wb-gateway/src/peers/hear.rs
+++ b/crates/wb-gateway/src/peers/hear.rs
@@ -69,6 +69,7 @@
     }
     let routes = state.routes.as_ref().map_or(0, |routes| routes.version);
     if heard.routes > routes {
+        state.ahead = Some(peer);
         context.routes_due.notify_one();
     }
     if state.listing.state() == Some(heard.listing) {
--- a/crates/wb-gateway/src/peers/whole.rs
+++ b/crates/wb-gateway/src/peers/whole.rs
@@ -101,6 +101,8 @@
 ///
 /// See [`CallError`].
 pub async fn fetch(context: &Context, address: SocketAddr) -> Result<Whole, CallError> {
+    // A connection that has rested may have gone silent while one of the two was cut off.
+    context.peer_pool.forget(address);
     let target = Target {
         pool: context.peer_pool.clone(),
         address,
