--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use rand::seq::IteratorRandom;
 use wb_event::Event;
 use wb_event::line;
 use wb_route::RouteTable;
@@ -25,6 +28,9 @@
 /// Wait for the platform's answer before another instance is asked, a few usual answers.
 const PATIENCE: Duration = Duration::from_millis(300);
 
+/// Instances that are asked at a time.
+const WAYS: usize = 3;
+
 /// Follows the routes until the daemon ends.
 pub async fn run(context: Arc<Context>) {
     let mut watch = Watch::new("routes");
@@ -76,18 +82,44 @@
     if let Ok(Ok(routes)) = early {
         return Ok(routes);
     }
-    let ahead = context.state().ahead.take();
-    let told = async {
-        if let Some(address) = ahead {
-            learn(context, address).await;
-        }
-    };
     match early {
         Ok(failed) => {
-            told.await;
+            learn_routes(context).await;
             failed
         }
-        Err(_) => tokio::join!(asked, told).0,
+        Err(_) => tokio::join!(asked, learn_routes(context)).0,
+    }
+}
+
+/// Takes the routes of the instance that has newer ones, or of another, whichever says first: the
+/// path to one of them may lose packets.
+async fn learn_routes(context: &Context) {
+    let addresses = {
+        let mut state = context.state();
+        let Some(ahead) = state.ahead.take() else {
+            return;
+        };
+        let others = state.steering.other_homes();
+        let others = others.into_iter().filter(|other| *other != ahead);
+        let mut addresses = vec![ahead];
+        addresses.extend(others.choose_multiple(&mut rand::rng(), WAYS - 1));
+        addresses
+    };
+    let asked = addresses.into_iter().map(async |address| {
+        let told = whole::fetch_routes(context, address).await;
+        (address, told)
+    });
+    let mut asked: FuturesUnordered<_> = asked.collect();
+    while let Some((address, told)) = asked.next().await {
+        match told {
+            Ok(Some(table)) => {
+                if apply(context, &mut context.state(), table, "peer") {
+                    return;
+                }
+            }
+            Ok(None) => {}
+            Err(err) => line!(Event::PeerSilent, peer = address, error = err.to_string()),
+        }
     }
 }
 
--- a/crates/wb-gateway/src/peers/whole.rs
+++ b/crates/wb-gateway/src/peers/whole.rs
@@ -25,10 +25,15 @@
 use crate::Context;
 use crate::context::State;
 
-/// Path of the call.
+/// Path of the call for everything.
 const PATH: &str = "/whole";
+/// Path of the call for the routes.
+const ROUTES: &str = "/routes";
 /// Longest wait for an answer: some ways between failure domains, and the time for a large table.
 const TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest wait for the routes alone, by one way of several: two losses of a packet while a
+/// connection is opened.
+const ROUTES_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Everything that an instance knows.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -52,8 +57,11 @@
         request: Request<Arriving>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
-        let found = request.uri().path() == PATH;
-        let bytes = found.then(|| self.whole());
+        let bytes = match request.uri().path() {
+            PATH => Some(self.whole()),
+            ROUTES => Some(self.routes()),
+            _ => None,
+        };
         async move {
             let Some(bytes) = bytes else {
                 let mut response = Response::new(body::empty());
@@ -67,6 +75,11 @@
 }
 
 impl Answers {
+    fn routes(&self) -> Vec<u8> {
+        let routes = self.0.state().routes.clone();
+        postcard::to_stdvec(&routes.as_deref()).expect("routes are plain data")
+    }
+
     fn whole(&self) -> Vec<u8> {
         let state = self.0.state();
         let whole = Whole {
@@ -101,14 +114,32 @@
 ///
 /// See [`CallError`].
 pub async fn fetch(context: &Context, address: SocketAddr) -> Result<Whole, CallError> {
-    // A connection that has rested may have gone silent while one of the two was cut off.
+    let answer = target(context, address, TIMEOUT).get(PATH).await?;
+    postcard::from_bytes(&answer.body).map_err(|err| CallError::Malformed(err.to_string()))
+}
+
+/// Asks another instance for the routes alone, which a lossy path lets through sooner.
+///
+/// # Errors
+///
+/// See [`CallError`].
+pub async fn fetch_routes(
+    context: &Context,
+    address: SocketAddr,
+) -> Result<Option<RouteTable>, CallError> {
+    let target = target(context, address, ROUTES_TIMEOUT);
+    let answer = target.get(ROUTES).await?;
+    postcard::from_bytes(&answer.body).map_err(|err| CallError::Malformed(err.to_string()))
+}
+
+/// Another instance, over a new connection: one that has rested may have gone silent while one of
+/// the two was cut off.
+fn target(context: &Context, address: SocketAddr, timeout: Duration) -> Target {
     context.peer_pool.forget(address);
-    let target = Target {
+    Target {
         pool: context.peer_pool.clone(),
         address,
-        timeout: TIMEOUT,
+        timeout,
         token: None,
-    };
-    let answer = target.get(PATH).await?;
-    postcard::from_bytes(&answer.body).map_err(|err| CallError::Malformed(err.to_string()))
+    }
 }
