fix: callers are steered to instances of one size; routes from others in every case

The six large instances (0.5 cores, 200 Mbit/s) fell 5% short of a need reckoned with every slot busy, so two small ones (0.1 cores, 10 Mbit/s) were homes, and callers spread evenly: an eighth of all load each. Their links were full; all their calls (store, peers) timed out for eight seconds, and answers took four seconds to their callers. Homes now carry what the smallest carries times their number; smaller kinds join only if the larger fall short by half.

--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -47,12 +47,9 @@
             }
             Err(Error::Forgotten) => context.state().route_mark = 0,
             Err(_) => {
-                let pause = async {
-                    ask_peers(&context).await;
-                    backoff.wait().await;
-                };
+                ask_peers(&context).await;
                 tokio::select! {
-                    () = pause => {}
+                    () = backoff.wait() => {}
                     // Another instance has newer ones.
                     () = context.routes_due.notified() => context.routes_due.notify_one(),
                 }
@@ -65,7 +62,7 @@
 async fn ask(context: &Context) -> Result<Routes, Error> {
     let mark = context.state().route_mark;
     if mark == 0 {
-        return context.catalog.routes().await;
+        return newest(context).await;
     }
     tokio::select! {
         result = context.catalog.next_routes(mark, WAIT) => result,
--- a/crates/wb-members/src/steer/mod.rs
+++ b/crates/wb-members/src/steer/mod.rs
@@ -58,6 +58,12 @@
     }
 }
 
+/// Size of an instance against the one before it in the rank below which it is of a smaller kind.
+const STEP: f32 = 0.5;
+/// Part of the need that larger instances may carry alone: the need is reckoned with every slot of
+/// the backend servers busy.
+const SHORT: f32 = 0.5;
+
 /// One known instance.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -206,14 +212,20 @@
         rank::rank(others.map(|peer| &peer.card).chain(own))
     }
 
-    /// Homes that are needed.
+    /// Homes that are needed. Callers spread evenly over them, so that together they carry what
+    /// the smallest carries, times their number.
     fn count(&self, ranked: &[InstanceName]) -> usize {
-        let mut cores = 0.0;
+        let mut smallest = 0.0;
         for (index, name) in ranked.iter().enumerate() {
-            if index >= self.options.least && cores >= self.need {
+            let cores = self.card(name).map_or(0.0, |card| card.cores);
+            let carried = smallest * index as f32;
+            let step = cores < smallest * STEP;
+            if index >= self.options.least
+                && (carried >= self.need || (step && carried >= self.need * SHORT))
+            {
                 return index;
             }
-            cores += self.card(name).map_or(0.0, |card| card.cores);
+            smallest = cores;
         }
         ranked.len()
     }
--- /dev/null
+++ b/crates/wb-members/tests/steer.rs
@@ -0,0 +1,53 @@
+//! Which instances are named to callers, by their size.
+
+use std::time::Duration;
+
+use wb_members::steer::Card;
+use wb_members::steer::Options;
+use wb_members::steer::Steering;
+
+fn card(index: usize, cores: f32) -> Card {
+    Card {
+        name: format!("front-{index:03}").into(),
+        domain: format!("d{}", index % 3).into(),
+        cores,
+        callers: format!("10.0.0.{index}:80").parse().expect("an address"),
+        peers: format!("10.0.0.{index}:81").parse().expect("an address"),
+        incarnation: 1,
+    }
+}
+
+/// Sizes of the homes of a fleet with so many large and small instances.
+fn homes(large: usize, small: usize, need: f32) -> (usize, usize) {
+    let sizes = [vec![0.5; large], vec![0.1; small]].concat();
+    let mut cards = sizes.iter().enumerate().map(|(i, cores)| card(i, *cores));
+    let own = cards.next().expect("an instance");
+    let mut steering = Steering::new(Options::default(), own);
+    for card in cards {
+        steering.learn(card, Duration::ZERO);
+    }
+    steering.set_need(need);
+    steering.choose(Duration::from_millis(1));
+    let chosen = steering.homes().len();
+    (chosen.min(large), chosen.saturating_sub(large))
+}
+
+macro_rules! fleets {
+    ($($name:ident: $large:literal large, $small:literal small, need $need:literal => $homes:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(homes($large, $small, $need), $homes);
+            }
+        )*
+    };
+}
+
+fleets! {
+    alike: 10 large, 0 small, need 3.1 => (7, 0);
+    small_ones_stay_out_beside_large_ones: 6 large, 112 small, need 3.1 => (6, 0);
+    small_ones_help_if_the_large_fall_far_short: 3 large, 100 small, need 3.1 => (3, 28);
+    small_ones_take_over: 0 large, 112 small, need 3.1 => (0, 31);
+    few_needed: 6 large, 112 small, need 0.2 => (3, 0);
+    fewer_large_than_least: 2 large, 20 small, need 0.2 => (2, 1);
+}
