--- a/crates/wb-gateway/src/front/forward.rs
+++ b/crates/wb-gateway/src/front/forward.rs
@@ -76,12 +76,12 @@
     if let Err(refusal) = course.send(Turn::First).await {
         return course.refused(&refusal, record);
     }
-    let mut hedged = !course.may_hedge();
+    let mut hedged = false;
     loop {
         let hedge = course.hedge_after();
         let outcome = tokio::select! {
             outcome = course.running.next() => outcome,
-            () = tokio::time::sleep(hedge), if !hedged => {
+            () = tokio::time::sleep(hedge), if !hedged && course.may_hedge() => {
                 hedged = true;
                 // Without room for a second send the first one goes on alone.
                 let _ = course.send(Turn::Beside).await;
@@ -149,7 +149,8 @@
 
     fn may_hedge(&self) -> bool {
         let route = &self.intake.route;
-        route.repeat.is_idempotent() && route.attempts > 1 && self.payload.is_ready()
+        let room = self.sends < route.attempts;
+        route.repeat.is_idempotent() && room && self.payload.is_ready()
     }
 
     fn hedge_after(&self) -> Duration {
