--- a/crates/wb-members/src/steer/mod.rs
+++ b/crates/wb-members/src/steer/mod.rs
@@ -61,8 +61,8 @@
 /// Size of an instance against the one before it in the rank below which it is of a smaller kind.
 const STEP: f32 = 0.5;
 /// Part of the need that larger instances may carry alone: the need is reckoned with every slot of
-/// the backend servers busy.
-const SHORT: f32 = 0.5;
+/// the backend servers busy, three times what comes at a usual crest.
+const SHORT: f32 = 0.3;
 
 /// One known instance.
 #[derive(Clone, Debug)]
