refactor: one copy of guards, empty answers, calls between instances and the judgement of resets

Behaviour is the same but for one log line. The guard that counts active requests stood in wb-entry and wb-gateway, an answer without a body in four places, some usual durations of a route in two, the shortest time to come back in two, a server by its name in four. The two calls to other instances shared all but a path, and their errors were logged by two of three callers; the call logs them now, those of seeds as well, which were swallowed. Whether a reset may be due to a rest is judged beside the other rules on rests (its 50 ms stood twice). A refusal is no longer taken out of an offer that was just made; counts are told by one condition in place of two.

--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -28,12 +28,18 @@
 }
 
 impl Balancer {
-    /// Own requests running at each server that has any.
+    pub(super) fn named(&mut self, server: &str) -> Option<&mut Entry> {
+        let key = *self.names.get(server)?;
+        self.servers.get_mut(key)
+    }
+
+    /// Own requests running at each server that has any. Others are taken to be told.
     pub fn running(&mut self) -> HashMap<ServerName, u32> {
         self.tell(|entry| entry.running > 0)
     }
 
-    /// Requests that run at each server where their number has changed since others were told.
+    /// Requests that run at each server where their number has changed since others were told;
+    /// they are taken to be told now.
     pub fn running_changes(&mut self) -> HashMap<ServerName, u32> {
         self.tell(|entry| entry.running != entry.told)
     }
--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -74,8 +74,7 @@
 
     /// Takes evidence from another instance.
     pub fn hear(&mut self, server: &ServerName, evidence: Evidence, now: Moment) -> Option<Change> {
-        let key = *self.names.get(server)?;
-        let entry = self.servers.get_mut(key)?;
+        let entry = self.named(server)?;
         let turned = entry.trust.hear(evidence, now);
         turned.then(|| entry.change(evidence, turned))
     }
@@ -83,8 +82,7 @@
     /// Takes whole answers that other instances got from servers that are not suspect.
     pub fn hear_good(&mut self, servers: &[ServerName], now: Moment) {
         for server in servers {
-            let key = self.names.get(server).copied();
-            let entry = key.and_then(|key| self.servers.get_mut(key));
+            let entry = self.named(server);
             if let Some(entry) = entry.filter(|entry| !entry.trust.is_suspect()) {
                 entry.trust.hear(Evidence::Good, now);
             }
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -26,6 +26,7 @@
 use crate::RetryBudget;
 use crate::Trust;
 
+pub use offer::AFTER_MIN;
 pub use update::Listed;
 
 slotmap::new_key_type! {
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -17,7 +17,7 @@
 /// mostly be answered anyway.
 const KEEP_HEDGE: f64 = 0.6;
 /// Shortest time until a refused request may come back.
-const AFTER_MIN: Duration = Duration::from_millis(200);
+pub const AFTER_MIN: Duration = Duration::from_millis(200);
 /// Longest time until a refused request may come back.
 const AFTER_MAX: Duration = Duration::from_secs(5);
 
@@ -91,11 +91,15 @@
         Offer::Wait(self.waiting.insert(Waiter { ask, since: now }))
     }
 
-    pub(super) fn refuse(cause: Cause, after: Duration) -> Offer {
-        Offer::Refuse(Refusal {
+    fn refuse(cause: Cause, after: Duration) -> Offer {
+        Offer::Refuse(Self::refusal(cause, after))
+    }
+
+    pub(super) fn refusal(cause: Cause, after: Duration) -> Refusal {
+        Refusal {
             cause,
             after: after.clamp(AFTER_MIN, AFTER_MAX),
-        })
+        }
     }
 
     /// Waiting requests of the same or a higher rank.
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -67,8 +67,7 @@
     }
 
     fn put(&mut self, listed: &Listed, now: Moment) {
-        let known = self.names.get(&listed.server.name).copied();
-        if let Some(entry) = known.and_then(|key| self.servers.get_mut(key)) {
+        if let Some(entry) = self.named(&listed.server.name) {
             if entry.server.address != listed.server.address {
                 entry.trust = Trust::default();
                 entry.misplaced = false;
@@ -113,8 +112,7 @@
     /// Takes what has changed of what another instance has running.
     pub fn note_running(&mut self, from: &InstanceName, counts: &HashMap<ServerName, u32>) {
         for (server, count) in counts {
-            let key = self.names.get(server).copied();
-            let Some(entry) = key.and_then(|key| self.servers.get_mut(key)) else {
+            let Some(entry) = self.named(server) else {
                 continue;
             };
             if *count == 0 {
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -6,8 +6,6 @@
 
 use super::Balancer;
 use super::Cause;
-use super::Offer;
-use super::Refusal;
 use super::Released;
 use super::WaitKey;
 use super::Waiter;
@@ -59,11 +57,7 @@
         keys.into_iter()
             .map(|key| {
                 self.waiting.remove(key);
-                let refusal = match Self::refuse(Cause::Deadline, Duration::ZERO) {
-                    Offer::Refuse(refusal) => refusal,
-                    _ => unreachable!("a refusal was just made"),
-                };
-                let result: Result<_, Refusal> = Err(refusal);
+                let result = Err(Self::refusal(Cause::Deadline, Duration::ZERO));
                 Released { key, result }
             })
             .collect()
--- a/crates/wb-balance/src/rest.rs
+++ b/crates/wb-balance/src/rest.rs
@@ -29,11 +29,12 @@
 /// Resets of servers that were sound for each of a server that was sick: those that are mildly sick
 /// answer seven in ten requests, and pass as sound as often.
 const SOUND_PART: f64 = 6.0;
+/// A reset within some round trips of the send tells of the connection, a later one of the server.
+const SOON: Duration = Duration::from_millis(250);
 /// Time constant of both counts: some sends to each server at a calm hour.
 const FADE: Duration = Duration::from_secs(5);
-
-/// Time after which a reset is left unexplained, twice the time constant.
-const OPEN_LIFE: Duration = Duration::from_secs(10);
+/// Time after which a reset is left unexplained.
+const OPEN_LIFE: Duration = FADE.saturating_mul(2);
 
 /// What a reset after a rest was due to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -70,6 +71,11 @@
     }
 }
 
+/// Whether a reset so long after the send may be due to the rest of its connection.
+pub fn may_be_stale(rest: Duration, took: Duration) -> bool {
+    rest > LEAST && took < SOON
+}
+
 impl Rests {
     /// Longest rest of a connection for a request that can or can't be repeated.
     pub fn limit(&self, repeatable: bool) -> Duration {
--- a/crates/wb-entry/src/front/mod.rs
+++ b/crates/wb-entry/src/front/mod.rs
@@ -28,6 +28,7 @@
 use http::Response;
 use wb_event::Event;
 use wb_event::emit;
+use wb_http::Active;
 use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::serve::Handler;
@@ -42,22 +43,6 @@
     context: Arc<Context>,
 }
 
-/// Counts a request as active until it is dropped.
-struct Active(Arc<Context>);
-
-impl Active {
-    fn new(context: Arc<Context>) -> Self {
-        context.metrics.active.inc();
-        Self(context)
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.metrics.active.dec();
-    }
-}
-
 impl Front {
     /// A handler for a daemon.
     pub fn new(context: Arc<Context>) -> Self {
@@ -66,7 +51,7 @@
 
     async fn route(&self, request: Request<Arriving>) -> Response<Body> {
         let context = self.context.clone();
-        let _active = Active::new(context.clone());
+        let _active = Active::new(&context.metrics.active);
         if request.uri().path().starts_with(ask::PREFIX) {
             return ask::answer(&context, &request);
         }
--- a/crates/wb-gateway/src/directory.rs
+++ b/crates/wb-gateway/src/directory.rs
@@ -32,7 +32,7 @@
             return self.ready();
         }
         let Some(question) = context.calls.question(request.uri()) else {
-            return status(StatusCode::NOT_FOUND);
+            return body::status(StatusCode::NOT_FOUND);
         };
         let state = context.state();
         let addresses = state.steering.addresses(context.now());
@@ -53,19 +53,13 @@
         let state = self.0.state();
         let known = state.routes.is_some() && state.listing.mark().is_some();
         if known && !self.0.is_leaving() {
-            status(StatusCode::OK)
+            body::status(StatusCode::OK)
         } else {
-            status(StatusCode::SERVICE_UNAVAILABLE)
+            body::status(StatusCode::SERVICE_UNAVAILABLE)
         }
     }
 }
 
-fn status(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(body::empty());
-    *response.status_mut() = status;
-    response
-}
-
 impl Handler for Directory {
     fn handle(
         self: Arc<Self>,
--- a/crates/wb-gateway/src/follow/members.rs
+++ b/crates/wb-gateway/src/follow/members.rs
@@ -52,7 +52,7 @@
 /// Learns of others from those that may be up, while the platform does not answer.
 async fn ask_seeds(context: &Context) {
     for seed in &context.settings.seeds {
-        if let Ok(whole) = whole::fetch(context, *seed).await {
+        if let Some(whole) = whole::fetch(context, *seed).await {
             greet(context, whole.cards);
             return;
         }
--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -15,6 +15,7 @@
 use super::Watch;
 use super::report;
 use crate::Context;
+use crate::context::State;
 use crate::peers::whole;
 use crate::port::Error;
 use crate::port::Routes;
@@ -24,10 +25,8 @@
 /// Pause after newer routes, so that edits in quick succession are read together; a small part of
 /// the time in which they must be in force.
 const GATHER: Duration = Duration::from_millis(250);
-
 /// Wait for the platform's answer before another instance is asked, a few usual answers.
 const PATIENCE: Duration = Duration::from_millis(300);
-
 /// Instances that are asked at a time.
 const WAYS: usize = 3;
 
@@ -75,11 +74,8 @@
 async fn newest(context: &Context) -> Result<Routes, Error> {
     let asked = context.catalog.routes();
     tokio::pin!(asked);
-    let early = tokio::time::timeout(PATIENCE, &mut asked).await;
-    if let Ok(Ok(routes)) = early {
-        return Ok(routes);
-    }
-    match early {
+    match tokio::time::timeout(PATIENCE, &mut asked).await {
+        Ok(Ok(routes)) => Ok(routes),
         Ok(failed) => {
             learn_routes(context).await;
             failed
@@ -102,20 +98,14 @@
         addresses.extend(others.choose_multiple(&mut rand::rng(), WAYS - 1));
         addresses
     };
-    let asked = addresses.into_iter().map(async |address| {
-        let told = whole::fetch_routes(context, address).await;
-        (address, told)
-    });
+    let asked = addresses.into_iter();
+    let asked = asked.map(|address| whole::fetch_routes(context, address));
     let mut asked: FuturesUnordered<_> = asked.collect();
-    while let Some((address, told)) = asked.next().await {
-        match told {
-            Ok(Some(table)) => {
-                if apply(context, &mut context.state(), table, "peer") {
-                    return;
-                }
-            }
-            Ok(None) => {}
-            Err(err) => line!(Event::PeerSilent, peer = address, error = err.to_string()),
+    while let Some(told) = asked.next().await {
+        if let Some(table) = told
+            && apply(context, &mut context.state(), table, "peer")
+        {
+            return;
         }
     }
 }
@@ -133,12 +123,7 @@
     apply(context, &mut state, table, source)
 }
 
-fn apply(
-    context: &Context,
-    state: &mut crate::context::State,
-    table: RouteTable,
-    source: &'static str,
-) -> bool {
+fn apply(context: &Context, state: &mut State, table: RouteTable, source: &'static str) -> bool {
     let now = context.now();
     let before = state.routes.as_ref().map(|routes| routes.version);
     if before.is_some_and(|before| table.version <= before) {
@@ -174,12 +159,8 @@
 
 /// Takes what another instance knows. Returns whether it said so.
 async fn learn(context: &Context, address: SocketAddr) -> bool {
-    let whole = match whole::fetch(context, address).await {
-        Ok(whole) => whole,
-        Err(err) => {
-            line!(Event::PeerSilent, peer = address, error = err.to_string());
-            return false;
-        }
+    let Some(whole) = whole::fetch(context, address).await else {
+        return false;
     };
     let now = context.now();
     let mut state = context.state();
--- a/crates/wb-gateway/src/front/attempt.rs
+++ b/crates/wb-gateway/src/front/attempt.rs
@@ -1,6 +1,10 @@
 //! One send to one server.
 
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task;
+use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,9 +12,11 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body::Frame;
 use http_body_util::BodyExt;
 use wb_balance::Ending;
 use wb_balance::Evidence;
+use wb_balance::rest::may_be_stale;
 use wb_event::Event;
 use wb_event::line;
 use wb_http::Body;
@@ -36,11 +42,6 @@
 /// can be asked for again. Some hundred of them fit into a small instance.
 const HOLD_MAX: u64 = 256 * 1024;
 
-/// A reset within some round trips of the send tells of the connection, a later one of the server.
-const STALE_TIME: Duration = Duration::from_millis(250);
-/// Rest below which a connection is as good as a new one.
-const STALE_REST: Duration = Duration::from_millis(50);
-
 /// A send counts against its server after this many usual durations; one in thirty takes longer at
 /// a sound server.
 const OVERDUE: u32 = 3;
@@ -77,7 +78,7 @@
     let terms = slot.terms();
     let address = slot.grant.server.address;
     let sending = context.pool.send(address, terms, request);
-    let overdue = overdue(&context, &intake);
+    let overdue = intake.usual(&context, OVERDUE, OVERDUE_MIN);
     let whole = async {
         match sending.await {
             Ok(reply) => {
@@ -116,19 +117,7 @@
         }
         Ok(Err(SendError::Lost { why, rested })) => {
             let took = context.now().saturating_sub(begin);
-            if let Some(rest) = rested.filter(|rest| *rest > STALE_REST && took < STALE_TIME) {
-                let why = format!("{why} after a rest of {} ms", rest.as_millis());
-                report(&intake, &slot, "stale", &why);
-                slot.stale(rest);
-                slot.end(Ending::Bad(Evidence::Stale));
-            } else {
-                if rested.is_none() {
-                    slot.fresh(false);
-                }
-                report(&intake, &slot, "cut", &why);
-                slot.end(Ending::Bad(Evidence::Cut));
-            }
-            Outcome::Lost { reason: "cut" }
+            cut(&intake, slot, &why, rested, took)
         }
         Err(_) => {
             report(
@@ -143,6 +132,33 @@
     }
 }
 
+/// Ends a send whose connection was reset, so long after it began.
+fn cut(
+    intake: &Intake,
+    slot: Slot,
+    why: &str,
+    rested: Option<Duration>,
+    took: Duration,
+) -> Outcome {
+    let evidence = match rested {
+        Some(rest) if may_be_stale(rest, took) => {
+            let why = format!("{why} after a rest of {} ms", rest.as_millis());
+            report(intake, &slot, "stale", &why);
+            slot.stale(rest);
+            Evidence::Stale
+        }
+        _ => {
+            if rested.is_none() {
+                slot.fresh(false);
+            }
+            report(intake, &slot, "cut", why);
+            Evidence::Cut
+        }
+    };
+    slot.end(Ending::Bad(evidence));
+    Outcome::Lost { reason: "cut" }
+}
+
 /// Logs a send that ended without a whole answer.
 fn report(intake: &Intake, slot: &Slot, reason: &'static str, error: &str) {
     line!(
@@ -155,14 +171,6 @@
     );
 }
 
-/// Time after which a send counts against its server.
-fn overdue(context: &Context, intake: &Intake) -> Duration {
-    let state = context.state();
-    let service = state.services.get(&intake.service);
-    let usual = service.map(|service| service.balancer.usual(&intake.route.name));
-    (usual.unwrap_or_default() * OVERDUE).max(OVERDUE_MIN)
-}
-
 fn build(
     context: &Context,
     intake: &Intake,
@@ -303,10 +311,10 @@
     type Error = hyper::Error;
 
     fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<http_body::Frame<Bytes>, hyper::Error>>> {
-        let frame = std::task::ready!(std::pin::Pin::new(&mut self.body).poll_frame(cx));
+        mut self: Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         let ending = match &frame {
             Some(Ok(_)) => None,
             Some(Err(_)) => Some(Ending::Bad(Evidence::Cut)),
@@ -317,7 +325,7 @@
         {
             slot.end(ending);
         }
-        std::task::Poll::Ready(frame)
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/wb-gateway/src/front/forward.rs
+++ b/crates/wb-gateway/src/front/forward.rs
@@ -78,7 +78,7 @@
     }
     let mut hedged = false;
     loop {
-        let hedge = course.hedge_after();
+        let hedge = intake.usual(context, HEDGE, HEDGE_MIN);
         let outcome = tokio::select! {
             outcome = course.running.next() => outcome,
             () = tokio::time::sleep(hedge), if !hedged && course.may_hedge() => {
@@ -153,13 +153,6 @@
         route.repeat.is_idempotent() && room && self.payload.is_ready()
     }
 
-    fn hedge_after(&self) -> Duration {
-        let state = self.context.state();
-        let service = state.services.get(&self.intake.service);
-        let usual = service.map(|service| service.balancer.usual(&self.intake.route.name));
-        (usual.unwrap_or_default() * HEDGE).max(HEDGE_MIN)
-    }
-
     fn take(&mut self, outcome: Outcome) -> Step {
         let idempotent = self.intake.route.repeat.is_idempotent();
         let (reason, turn) = match outcome {
--- a/crates/wb-gateway/src/front/intake.rs
+++ b/crates/wb-gateway/src/front/intake.rs
@@ -119,6 +119,16 @@
     }
 }
 
+impl Intake {
+    /// Some usual durations of the route, but a shortest time at least.
+    pub fn usual(&self, context: &Context, times: u32, least: Duration) -> Duration {
+        let state = context.state();
+        let service = state.services.get(&self.service);
+        let usual = service.map(|service| service.balancer.usual(&self.route.name));
+        (usual.unwrap_or_default() * times).max(least)
+    }
+}
+
 /// A header as text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/wb-gateway/src/front/mod.rs
+++ b/crates/wb-gateway/src/front/mod.rs
@@ -24,6 +24,7 @@
 use http::Response;
 use wb_event::Event;
 use wb_event::line;
+use wb_http::Active;
 use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::serve::Handler;
@@ -36,26 +37,10 @@
 /// Handles requests on the callers' listener.
 pub struct Front(pub Arc<Context>);
 
-/// Counts a request as active until it is dropped.
-struct Active(Arc<Context>);
-
-impl Active {
-    fn new(context: Arc<Context>) -> Self {
-        context.metrics.active.inc();
-        Self(context)
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.metrics.active.dec();
-    }
-}
-
 impl Front {
     async fn route(&self, request: Request<Arriving>) -> Response<Body> {
         let context = &self.0;
-        let _active = Active::new(context.clone());
+        let _active = Active::new(&context.metrics.active);
         let (head, body) = request.into_parts();
         let id = intake::text(&head.headers, &context.headers.request).map(str::to_owned);
         let intake = match Intake::read(context, head) {
--- a/crates/wb-gateway/src/front/reply.rs
+++ b/crates/wb-gateway/src/front/reply.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use http::StatusCode;
 use wb_balance::Refusal;
+use wb_balance::balancer::AFTER_MIN;
 use wb_event::Event;
 use wb_event::line;
 use wb_http::Body;
@@ -17,13 +18,9 @@
 use crate::Context;
 use crate::metrics::RequestLabels;
 
-/// Shortest time until a caller is told to come back.
-const AFTER_MIN: Duration = Duration::from_millis(200);
-
 /// Answer of the daemon itself.
 fn own(context: &Context, intake: Option<&Intake>, status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(body::empty());
-    *response.status_mut() = status;
+    let mut response = body::status(status);
     if let Some(intake) = intake
         && let Ok(id) = HeaderValue::from_str(&intake.id)
     {
--- a/crates/wb-gateway/src/peers/beat.rs
+++ b/crates/wb-gateway/src/peers/beat.rs
@@ -137,7 +137,7 @@
         if idle && !(whole && told) {
             continue;
         }
-        told = !idle || !whole;
+        told = !idle;
         let from = state.steering.own().name.clone();
         let packet = Packet::Running {
             from,
--- a/crates/wb-gateway/src/peers/whole.rs
+++ b/crates/wb-gateway/src/peers/whole.rs
@@ -11,6 +11,9 @@
 use http::StatusCode;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wb_event::Event;
+use wb_event::line;
 use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::body;
@@ -63,12 +66,10 @@
             _ => None,
         };
         async move {
-            let Some(bytes) = bytes else {
-                let mut response = Response::new(body::empty());
-                *response.status_mut() = StatusCode::NOT_FOUND;
-                return response;
-            };
-            Response::new(body::full(bytes))
+            match bytes {
+                Some(bytes) => Response::new(body::full(bytes)),
+                None => body::status(StatusCode::NOT_FOUND),
+            }
         }
         .boxed()
     }
@@ -109,37 +110,35 @@
 }
 
 /// Asks another instance for everything that it knows.
-///
-/// # Errors
-///
-/// See [`CallError`].
-pub async fn fetch(context: &Context, address: SocketAddr) -> Result<Whole, CallError> {
-    let answer = target(context, address, TIMEOUT).get(PATH).await?;
-    postcard::from_bytes(&answer.body).map_err(|err| CallError::Malformed(err.to_string()))
+pub async fn fetch(context: &Context, address: SocketAddr) -> Option<Whole> {
+    call(context, address, PATH, TIMEOUT).await
 }
 
 /// Asks another instance for the routes alone, which a lossy path lets through sooner.
-///
-/// # Errors
-///
-/// See [`CallError`].
-pub async fn fetch_routes(
-    context: &Context,
-    address: SocketAddr,
-) -> Result<Option<RouteTable>, CallError> {
-    let target = target(context, address, ROUTES_TIMEOUT);
-    let answer = target.get(ROUTES).await?;
-    postcard::from_bytes(&answer.body).map_err(|err| CallError::Malformed(err.to_string()))
+pub async fn fetch_routes(context: &Context, address: SocketAddr) -> Option<RouteTable> {
+    let routes: Option<Option<RouteTable>> = call(context, address, ROUTES, ROUTES_TIMEOUT).await;
+    routes.flatten()
 }
 
-/// Another instance, over a new connection: one that has rested may have gone silent while one of
-/// the two was cut off.
-fn target(context: &Context, address: SocketAddr, timeout: Duration) -> Target {
+/// Calls another instance over a new connection: one that has rested may have gone silent while
+/// one of the two was cut off. An instance that does not answer is logged.
+async fn call<T: DeserializeOwned>(
+    context: &Context,
+    address: SocketAddr,
+    path: &str,
+    timeout: Duration,
+) -> Option<T> {
     context.peer_pool.forget(address);
-    Target {
+    let target = Target {
         pool: context.peer_pool.clone(),
         address,
         timeout,
         token: None,
-    }
+    };
+    let answer = target.get(path).await;
+    let told = answer.and_then(|answer| {
+        postcard::from_bytes(&answer.body).map_err(|err| CallError::Malformed(err.to_string()))
+    });
+    told.inspect_err(|err| line!(Event::PeerSilent, peer = address, error = err.to_string()))
+        .ok()
 }
--- a/crates/wb-http/src/body.rs
+++ b/crates/wb-http/src/body.rs
@@ -1,9 +1,11 @@
-//! The body type, and bodies made of bytes.
+//! The body type, bodies made of bytes, and answers without one.
 
 use std::error;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::BoxBody;
@@ -25,6 +27,13 @@
     full(Bytes::new())
 }
 
+/// An answer without a body.
+pub fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
+
 /// Boxes any body.
 pub fn boxed<B>(body: B) -> Body
 where
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -268,8 +268,7 @@
 }
 
 fn unrun(status: StatusCode, id: Option<&str>) -> Response<Body> {
-    let mut response = Response::new(body::empty());
-    *response.status_mut() = status;
+    let mut response = body::status(status);
     let headers = response.headers_mut();
     headers.insert(NOT_RUN, http::HeaderValue::from_static("1"));
     if let Some(id) = id.and_then(|id| id.parse().ok()) {
--- a/crates/wb-stand/src/reply.rs
+++ b/crates/wb-stand/src/reply.rs
@@ -7,6 +7,7 @@
 use wb_http::Arriving;
 use wb_http::Body;
 use wb_http::body;
+pub use wb_http::body::status;
 
 /// Largest body of a control or platform call, in bytes.
 const BODY_MAX: usize = 16 * 1024 * 1024;
@@ -21,13 +22,6 @@
     response
 }
 
-/// An answer without a body.
-pub fn status(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(body::empty());
-    *response.status_mut() = status;
-    response
-}
-
 /// Reads a JSON body.
 ///
 /// # Errors
