fix: an order whose connection is still being opened ends with its caller

Cause: an attempt of a request that must not be repeated ran in a task of its own from its start, so that opening a connection (up to half a second) went on after the caller had left, and the order was then sent. Change: the pool hands out connections (checkout); only the exchange on an open connection runs in its own task. The deadline that the server is told is taken when the request is sent, not when the connection begins to open.

--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -23,7 +23,9 @@
 use wb_http::SendError;
 use wb_http::body;
 use wb_http::header::end_to_end;
+use wb_http::pool::Connection;
 use wb_http::pool::PooledResponse;
+use wb_types::id::Moment;
 
 use super::routed::RoutedRequest;
 use super::routed::header_text;
@@ -71,7 +73,8 @@
 }
 
 /// Sends a request to the server of a slot, and waits for the response until the request's
-/// deadline.
+/// deadline. Dropping the future before a connection is open ends the attempt, and the server gets
+/// nothing.
 pub async fn run(
     context: Arc<Context>,
     routed: Arc<RoutedRequest>,
@@ -79,20 +82,75 @@
     body: Body,
 ) -> Outcome {
     let started = context.now();
-    let remaining = routed.deadline.saturating_sub(started);
-    let request = build_request(&context, &routed, &slot, body, remaining);
-    let options = slot.send_options();
+    let idempotent = routed.route.repeat.is_idempotent();
+    let mut slot = slot;
+    let mut request = build_request(&context, &routed, &slot, body);
+    loop {
+        let connection = match connect(&context, &routed, &slot).await {
+            Ok(connection) => connection,
+            Err(reason) => return fail_unsent(&routed, slot, request, &reason),
+        };
+        let exchange = exchange(
+            context.clone(),
+            routed.clone(),
+            slot,
+            connection,
+            request,
+            started,
+        );
+        let result = if idempotent {
+            exchange.await
+        } else {
+            // Runs in its own task: a request that must not be repeated goes on when its caller
+            // disconnects, since the server may have begun to execute it.
+            let internal = |_| Ok(Outcome::Indeterminate { reason: "internal" });
+            tokio::spawn(exchange).await.unwrap_or_else(internal)
+        };
+        match result {
+            Ok(outcome) => return outcome,
+            Err(unsent) => (slot, request) = *unsent,
+        }
+    }
+}
+
+/// Opens a connection for a request, or takes an idle one.
+async fn connect(
+    context: &Context,
+    routed: &RoutedRequest,
+    slot: &Slot,
+) -> Result<Connection, String> {
+    let remaining = routed.deadline.saturating_sub(context.now());
     let address = slot.assignment.server.address;
-    let sending = context.pool.send(address, options, request);
+    let checkout = context.pool.checkout(address, slot.send_options());
+    match tokio::time::timeout(remaining, checkout).await {
+        Ok(result) => result.map_err(|err| err.to_string()),
+        Err(_) => Err("no connection before the deadline".to_owned()),
+    }
+}
+
+/// Sends a request on a connection and waits for the response. Returns the slot and the request if
+/// the connection was an idle one that the server had closed, and no byte was sent.
+async fn exchange(
+    context: Arc<Context>,
+    routed: Arc<RoutedRequest>,
+    slot: Slot,
+    connection: Connection,
+    request: Request<Body>,
+    started: Moment,
+) -> Result<Outcome, Box<(Slot, Request<Body>)>> {
+    let reused = connection.is_reused();
+    let mut request = request;
+    let remaining = routed.deadline.saturating_sub(context.now());
+    request.headers_mut().insert(
+        &context.headers.deadline,
+        HeaderValue::from(remaining.as_millis() as u64),
+    );
     let overdue = routed.latency_threshold(&context, OVERDUE_FACTOR, OVERDUE_MIN);
+    let overdue = (started + overdue).saturating_sub(context.now());
     let response = async {
-        match sending.await {
-            Ok(response) => {
-                let idle_time = response.body().idle_time();
-                Ok((idle_time, check_response(&context, &routed, response).await))
-            }
-            Err(err) => Err(err),
-        }
+        let response = connection.send(request).await?;
+        let idle_time = response.body().idle_time();
+        Ok((idle_time, check_response(&context, &routed, response).await))
     };
     let response = tokio::time::timeout(remaining, response);
     tokio::pin!(response);
@@ -103,7 +161,7 @@
             response.await
         }
     };
-    match result {
+    let outcome = match result {
         Ok(Ok((idle_time, checked))) => {
             match idle_time {
                 Some(idle_time) => slot.record_reuse(idle_time),
@@ -111,15 +169,11 @@
             }
             finish(&context, &routed, checked, slot, started)
         }
+        Ok(Err(SendError::NotSent { request, .. })) if reused => {
+            return Err(Box::new((slot, *request)));
+        }
         Ok(Err(SendError::NotSent { request, reason })) => {
-            log_failure(&routed, &slot, "unreachable", &reason);
-            slot.explain_reset(false);
-            slot.release(AttemptOutcome::Failure(Evidence::Unreachable));
-            Outcome::NotExecuted {
-                reason: "unreachable",
-                reached: false,
-                body: Some(request.into_body()),
-            }
+            fail_unsent(&routed, slot, *request, &reason)
         }
         Ok(Err(SendError::NoResponse { reason, idle_time })) => {
             let took = context.now().saturating_sub(started);
@@ -135,6 +189,24 @@
             slot.release(AttemptOutcome::Timeout);
             Outcome::Indeterminate { reason: "timeout" }
         }
+    };
+    Ok(outcome)
+}
+
+/// Ends an attempt of which no byte was sent.
+fn fail_unsent(
+    routed: &RoutedRequest,
+    slot: Slot,
+    request: Request<Body>,
+    reason: &str,
+) -> Outcome {
+    log_failure(routed, &slot, "unreachable", reason);
+    slot.explain_reset(false);
+    slot.release(AttemptOutcome::Failure(Evidence::Unreachable));
+    Outcome::NotExecuted {
+        reason: "unreachable",
+        reached: false,
+        body: Some(request.into_body()),
     }
 }
 
@@ -183,7 +255,6 @@
     routed: &RoutedRequest,
     slot: &Slot,
     body: Body,
-    remaining: Duration,
 ) -> Request<Body> {
     let mut request = Request::new(body);
     *request.method_mut() = routed.head.method.clone();
@@ -194,10 +265,6 @@
     let mut headers = end_to_end(&routed.head.headers);
     headers.remove(http::header::EXPECT);
     let names = &context.headers;
-    headers.insert(
-        &names.deadline,
-        HeaderValue::from(remaining.as_millis() as u64),
-    );
     if let Ok(name) = HeaderValue::from_str(&slot.assignment.server.name) {
         headers.insert(&names.target, name);
     }
--- a/crates/wb-gateway/src/proxy/forward.rs
+++ b/crates/wb-gateway/src/proxy/forward.rs
@@ -135,18 +135,8 @@
         };
         self.tried.push(slot.assignment.key);
         self.attempts += 1;
-        let attempt_future = attempt::run(self.context.clone(), self.routed.clone(), slot, body);
-        if self.routed.route.repeat.is_idempotent() {
-            self.in_flight.push(Box::pin(attempt_future));
-        } else {
-            // Runs in its own task: a request that must not be repeated goes on when its caller
-            // disconnects, since the server may have begun to execute it.
-            let task = tokio::spawn(attempt_future);
-            self.in_flight.push(Box::pin(async move {
-                task.await
-                    .unwrap_or(Outcome::Indeterminate { reason: "internal" })
-            }));
-        }
+        let attempt = attempt::run(self.context.clone(), self.routed.clone(), slot, body);
+        self.in_flight.push(Box::pin(attempt));
         Ok(())
     }
 
--- a/crates/wb-http/src/pool/mod.rs
+++ b/crates/wb-http/src/pool/mod.rs
@@ -22,6 +22,7 @@
 
 pub(crate) use connect::configure;
 pub use response_body::ResponseBody;
+pub use send::Connection;
 
 /// Default idle timeout: four fifths of the time after which a listener closes an idle connection,
 /// so that no request is sent on a connection that the server is closing.
--- a/crates/wb-http/src/pool/send.rs
+++ b/crates/wb-http/src/pool/send.rs
@@ -1,5 +1,6 @@
 //! Sending a request on a connection of the pool.
 
+use std::io;
 use std::net::SocketAddr;
 
 use http::Request;
@@ -12,7 +13,32 @@
 use super::SendOptions;
 use crate::Body;
 
+/// A connection that was taken from the pool to send one request. Dropping it closes it.
+pub struct Connection {
+    inner: IdleConnection,
+    pool: Pool,
+}
+
 impl Pool {
+    /// Takes an idle connection, or opens a new one. Nothing is sent to the server, so a caller that
+    /// drops the future knows that its request was not executed.
+    ///
+    /// # Errors
+    ///
+    /// If no connection is open and none can be opened.
+    pub async fn checkout(
+        &self,
+        address: SocketAddr,
+        options: SendOptions,
+    ) -> io::Result<Connection> {
+        let inner = match self.take_idle(address, options) {
+            Some(idle) => idle,
+            None => self.connect(address, options).await?,
+        };
+        let pool = self.clone();
+        Ok(Connection { inner, pool })
+    }
+
     /// Sends a request and waits for the response head. Dropping the future closes the connection,
     /// so that the server can cancel the request.
     ///
@@ -26,32 +52,43 @@
         request: Request<Body>,
     ) -> Result<PooledResponse, SendError> {
         let mut request = request;
-        while let Some(idle) = self.take_idle(address, options) {
-            match self.send_on(idle, request).await {
-                Err(SendError::NotSent { request: back, .. }) => request = *back,
+        loop {
+            let connection = match self.checkout(address, options).await {
+                Ok(connection) => connection,
+                Err(err) => {
+                    return Err(SendError::NotSent {
+                        request: Box::new(request),
+                        reason: err.to_string(),
+                    });
+                }
+            };
+            let reused = connection.is_reused();
+            match connection.send(request).await {
+                Err(SendError::NotSent { request: back, .. }) if reused => request = *back,
                 other => return other,
             }
         }
-        match self.connect(address, options).await {
-            Ok(idle) => self.send_on(idle, request).await,
-            Err(err) => Err(SendError::NotSent {
-                request: Box::new(request),
-                reason: err.to_string(),
-            }),
-        }
     }
+}
 
-    async fn send_on(
-        &self,
-        idle: IdleConnection,
-        request: Request<Body>,
-    ) -> Result<PooledResponse, SendError> {
-        let mut idle = idle;
-        let idle_time = idle.idle_time();
-        match idle.sender.try_send_request(request).await {
+impl Connection {
+    /// Whether earlier requests were sent on the connection. The server may have closed such a
+    /// connection meanwhile.
+    pub fn is_reused(&self) -> bool {
+        self.inner.reused
+    }
+
+    /// Sends a request and waits for the response head. Dropping the future closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotSent`] only if no byte was sent, [`SendError::NoResponse`] otherwise.
+    pub async fn send(self, request: Request<Body>) -> Result<PooledResponse, SendError> {
+        let Self { mut inner, pool } = self;
+        let idle_time = inner.idle_time();
+        match inner.sender.try_send_request(request).await {
             Ok(response) => {
-                let pool = self.clone();
-                Ok(response.map(|body| ResponseBody::new(body, idle_time, idle, pool)))
+                Ok(response.map(|body| ResponseBody::new(body, idle_time, inner, pool)))
             }
             Err(mut err) => match err.take_message() {
                 Some(request) => Err(SendError::NotSent {
