feat: hedged attempts go by the latency target and the deadline

Cause: a second attempt began after four typical latencies, at least 150 ms. Change: the delay is a decision of its own (wb-balance/src/hedge.rs): two typical latencies, less where the target or the deadline asks for it, less for trials of suspects. A hedged send takes from the retry budget only if it finds a free slot, is tried again if it finds none, and may use as much of the budget as a retry if the first server is suspect or the deadline is near. Until a route has been served, its latency is taken as a quarter of its target.

--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -10,6 +10,10 @@
 use super::ServerEntry;
 use crate::RetryBudget;
 
+/// Ratio of a route's latency target to the duration of its requests that is assumed until one was
+/// seen: the users' targets are three to five times the usual duration.
+const TARGET_RATIO: u32 = 4;
+
 impl ServerEntry {
     /// Requests in flight at the server: this instance's own and those that peers reported.
     pub(super) fn load(&self) -> u32 {
@@ -81,15 +85,14 @@
         &mut self.retry_budget
     }
 
-    /// Moving average of the duration of a route's requests, or that of all routes if none was
-    /// seen.
-    pub fn typical_duration(&self, route: &str) -> Duration {
-        let seconds = self
-            .route_durations
-            .get(route)
-            .copied()
-            .unwrap_or(self.mean_duration);
-        Duration::from_secs_f64(seconds)
+    /// Moving average of the duration of a route's requests. Until one was seen, a share of the
+    /// route's latency target, or the average over all routes if it has none.
+    pub fn typical_duration(&self, route: &str, target: Duration) -> Duration {
+        match self.route_durations.get(route) {
+            Some(seconds) => Duration::from_secs_f64(*seconds),
+            None if target.is_zero() => Duration::from_secs_f64(self.mean_duration),
+            None => target / TARGET_RATIO,
+        }
     }
 
     /// Slots of the servers that are not suspect, or of all usable servers if every one is.
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -10,11 +10,12 @@
 use super::RefusalCause;
 use super::RequestInfo;
 use super::Waiter;
+use crate::hedge;
 
 /// Share of the retry budget that is reserved for requests of the highest priority.
 const RESERVED_SHARE: f64 = 0.3;
-/// Share of the retry budget that hedged sends must leave, since the slow first send mostly
-/// succeeds anyway.
+/// Share of the retry budget that hedged sends must leave unless they are urgent, since the slow
+/// first send mostly succeeds anyway.
 const HEDGE_RESERVED_SHARE: f64 = 0.6;
 /// Shortest time after which a refused request may be tried again.
 pub const RETRY_AFTER_MIN: Duration = Duration::from_millis(200);
@@ -39,16 +40,37 @@
         self.decide_within_budget(reserved, request, now)
     }
 
-    /// Decides on a hedged send, a second one while the first takes long. It is refused rather than
-    /// queued, since the first response may arrive meanwhile. Uses the retry budget.
+    /// Decides on a hedged send, a second one while the first takes long. It goes to a free slot that
+    /// no queued request could use, or is refused, since the first response may arrive meanwhile.
+    /// Uses the retry budget only if it is sent.
     pub fn hedge(&mut self, request: RequestInfo, now: Moment) -> Decision {
-        match self.decide_within_budget(HEDGE_RESERVED_SHARE, request, now) {
-            Decision::Wait(key) => {
-                self.cancel(key);
-                Self::refuse(RefusalCause::NoRoom, RETRY_AFTER_MIN)
-            }
-            other => other,
+        let key = (self.queued_ahead(&request) == 0)
+            .then(|| self.pick(&request, self.may_use_suspect(&request, now, now), now))
+            .flatten();
+        let Some(key) = key else {
+            return Self::refuse(RefusalCause::NoRoom, RETRY_AFTER_MIN);
+        };
+        let reserved = if self.is_urgent(&request, now) {
+            RESERVED_SHARE
+        } else {
+            HEDGE_RESERVED_SHARE
+        };
+        if !self.retry_budget.try_spend(reserved, now) {
+            return Self::refuse(RefusalCause::RetryBudget, RETRY_AFTER_MIN);
         }
+        Decision::Send(self.assign(key, now))
+    }
+
+    /// Whether a request probably fails without a hedged send: the server that it was sent to is
+    /// suspect, or there is just enough time left for another one.
+    fn is_urgent(&self, request: &RequestInfo, now: Moment) -> bool {
+        let is_suspect = |key: &super::ServerKey| {
+            let entry = self.servers.get(*key);
+            entry.is_some_and(|entry| entry.detector.is_suspect())
+        };
+        let typical = self.typical_duration(&request.route, request.target_latency);
+        request.tried.iter().any(is_suspect)
+            || now + typical.mul_f64(hedge::DEADLINE_ROOM) >= request.deadline
     }
 
     fn decide_within_budget(
@@ -88,7 +110,7 @@
             return Decision::Send(self.assign(key, now));
         }
         let wait = self.estimate_wait(ahead + 1);
-        let average = self.typical_duration(&request.route);
+        let average = self.typical_duration(&request.route, request.target_latency);
         let room = request.deadline.saturating_sub(now);
         if self.queue.len() >= self.options.queue_max || wait.saturating_add(average) > room {
             let retry_after = wait.saturating_add(average).saturating_sub(room);
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -103,7 +103,7 @@
     /// The suspect whose trial has been due for longest, if the request may run again and has time
     /// for it.
     pub(super) fn due_trial(&self, request: &RequestInfo, now: Moment) -> Option<ServerKey> {
-        let room = self.typical_duration(&request.route) * TRIAL_DURATIONS;
+        let room = self.typical_duration(&request.route, request.target_latency) * TRIAL_DURATIONS;
         if !request.may_explore() || now + room > request.deadline {
             return None;
         }
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -40,15 +40,16 @@
 
     fn queue_order(&self, waiter: &Waiter, now: Moment) -> QueueOrder {
         let request = &waiter.request;
-        let late =
-            now + self.typical_duration(&request.route) > request.arrived + request.target_latency;
+        let typical = self.typical_duration(&request.route, request.target_latency);
+        let late = now + typical > request.arrived + request.target_latency;
         (late, request.priority, request.arrived)
     }
 
     fn expire(&mut self, now: Moment) -> Vec<Released> {
         let late = |waiter: &Waiter| {
-            let half = self.typical_duration(&waiter.request.route) / 2;
-            now + half > waiter.request.deadline
+            let request = &waiter.request;
+            let half = self.typical_duration(&request.route, request.target_latency) / 2;
+            now + half > request.deadline
         };
         let keys: Vec<WaitKey> = self
             .queue
--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`detector`]: failure detector of one server, and when a suspect server is tried again.
 //! - [`balancer`]: the servers of one service, the choice among them, and the queue.
 //! - [`retry`]: budget of retries and hedged sends.
+//! - [`hedge`]: when a second attempt starts while the first is in progress.
 //! - [`idle`]: how long a connection may have been idle and still be reused.
 //! - [`options`]: limits and cost weights, with their units.
 //!
@@ -10,6 +11,7 @@
 
 pub mod balancer;
 pub mod detector;
+pub mod hedge;
 pub mod idle;
 pub mod options;
 pub mod retry;
--- a/crates/wb-balance/tests/retry.rs
+++ b/crates/wb-balance/tests/retry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use support::assignment_of;
 use support::at;
 use support::request;
 use support::service;
@@ -92,3 +93,17 @@
     assert!(granted > 10);
     assert_matches!(balancer.retry(high, at(1)), Decision::Send(_));
 }
+
+#[test]
+fn a_hedged_send_without_a_free_slot_leaves_the_budget_alone() {
+    let mut balancer = service(1, 1);
+    let assignment = assignment_of(balancer.admit(request(true, at(0)), at(0)));
+    let mut hedged = request(true, at(0));
+    hedged.tried.push(assignment.key);
+    let before = balancer.retry_budget().remaining(at(1));
+    for _ in 0..20 {
+        let decision = balancer.hedge(hedged.clone(), at(1));
+        assert_matches!(decision, Decision::Refuse(refusal) if refusal.cause == RefusalCause::NoRoom);
+    }
+    assert_eq!(balancer.retry_budget().remaining(at(1)), before);
+}
--- a/crates/wb-gateway/src/proxy/forward.rs
+++ b/crates/wb-gateway/src/proxy/forward.rs
@@ -2,7 +2,7 @@
 //!
 //! A request that must not be repeated is retried only if no byte of it was sent, or if the server
 //! itself reported that it did not execute it. An idempotent request is retried after any failure,
-//! and hedged once with a second attempt if the first takes far longer than usual.
+//! and hedged with a second attempt if the first takes longer than usual ([`wb_balance::hedge`]).
 
 use std::future::Future;
 use std::pin::Pin;
@@ -15,7 +15,10 @@
 use wb_balance::Refusal;
 use wb_balance::RequestInfo;
 use wb_balance::ServerKey;
+use wb_balance::hedge;
+use wb_balance::hedge::FirstAttempt;
 use wb_http::Body;
+use wb_types::id::Moment;
 
 use super::attempt;
 use super::attempt::Outcome;
@@ -27,11 +30,11 @@
 use super::slot::AttemptKind;
 use crate::Context;
 
-/// An attempt is hedged after this multiple of the typical latency, which one request in fifty
-/// exceeds.
-const HEDGE_FACTOR: u32 = 4;
-/// Shortest time after which an attempt is hedged.
-const HEDGE_MIN: Duration = Duration::from_millis(150);
+/// Delay after which a hedged attempt that found no free slot is tried again, as a fraction of the
+/// typical latency: a slot becomes free about as often at a small service.
+const HEDGE_RETRY: u32 = 4;
+/// Shortest such delay.
+const HEDGE_RETRY_MIN: Duration = Duration::from_millis(20);
 /// Most attempts of a request that end without a byte sent: each takes up to half a second.
 const CONNECT_FAILURES_MAX: u32 = 4;
 
@@ -53,6 +56,8 @@
     /// Response with a server error, which is passed on if no later attempt succeeds.
     server_error: Option<Response<Body>>,
     in_flight: FuturesUnordered<AttemptFuture>,
+    /// When a hedged attempt starts if none has before.
+    hedge_at: Option<Moment>,
 }
 
 /// Forwards a request until it is answered, refused or failed.
@@ -73,19 +78,17 @@
         last_reason: "",
         server_error: None,
         in_flight: FuturesUnordered::new(),
+        hedge_at: None,
     };
     if let Err(refusal) = forwarder.send(AttemptKind::First).await {
         return forwarder.refused(&refusal, record);
     }
-    let mut hedged = false;
     loop {
-        let hedge = routed.latency_threshold(context, HEDGE_FACTOR, HEDGE_MIN);
+        let hedge = forwarder.until_hedge();
         let outcome = tokio::select! {
             outcome = forwarder.in_flight.next() => outcome,
-            () = tokio::time::sleep(hedge), if !hedged && forwarder.can_hedge() => {
-                hedged = true;
-                // If a hedged attempt is refused, the first goes on alone.
-                let _ = forwarder.send(AttemptKind::Hedge).await;
+            () = tokio::time::sleep(hedge.unwrap_or_default()), if hedge.is_some() => {
+                forwarder.hedge().await;
                 continue;
             }
         };
@@ -135,15 +138,49 @@
         };
         self.tried.push(slot.assignment.key);
         self.attempts += 1;
+        if kind != AttemptKind::Hedge {
+            self.schedule_hedge(slot.assignment.trial);
+        }
         let attempt = attempt::run(self.context.clone(), self.routed.clone(), slot, body);
         self.in_flight.push(Box::pin(attempt));
         Ok(())
     }
 
-    fn can_hedge(&self) -> bool {
+    /// Schedules a hedged attempt after the first one was sent to the server of a slot.
+    fn schedule_hedge(&mut self, trial: bool) {
+        let now = self.context.now();
+        let route = &self.routed.route;
+        let delay = hedge::delay(FirstAttempt {
+            typical: self.typical_latency(),
+            trial,
+            until_target: (self.routed.arrived + route.target_latency).saturating_sub(now),
+            until_deadline: self.routed.deadline.saturating_sub(now),
+        });
+        self.hedge_at = Some(now + delay);
+    }
+
+    fn typical_latency(&self) -> Duration {
+        self.routed
+            .latency_threshold(self.context, 1, Duration::ZERO)
+    }
+
+    /// Time until a hedged attempt starts; `None` if the request may not be hedged.
+    fn until_hedge(&self) -> Option<Duration> {
         let route = &self.routed.route;
         let room = self.attempts < route.max_attempts;
-        route.repeat.is_idempotent() && room && self.payload.is_available()
+        let allowed = route.repeat.is_idempotent() && room && self.payload.is_available();
+        let at = self.hedge_at.filter(|_| allowed)?;
+        Some(at.saturating_sub(self.context.now()))
+    }
+
+    /// Starts a hedged attempt. If it is refused, the first goes on alone, and the hedged one is
+    /// tried again later.
+    async fn hedge(&mut self) {
+        self.hedge_at = None;
+        if self.send(AttemptKind::Hedge).await.is_err() {
+            let pause = self.typical_latency() / HEDGE_RETRY;
+            self.hedge_at = Some(self.context.now() + pause.max(HEDGE_RETRY_MIN));
+        }
     }
 
     fn handle_outcome(&mut self, outcome: Outcome) -> Next {
--- a/crates/wb-gateway/src/proxy/routed.rs
+++ b/crates/wb-gateway/src/proxy/routed.rs
@@ -126,8 +126,11 @@
     pub fn latency_threshold(&self, context: &Context, factor: u32, min: Duration) -> Duration {
         let state = context.state();
         let service = state.services.get(&self.service);
-        let typical = service.map(|service| service.balancer.typical_duration(&self.route.name));
-        (typical.unwrap_or_default() * factor).max(min)
+        let target = self.route.target_latency;
+        let typical = service.map_or(target, |service| {
+            service.balancer.typical_duration(&self.route.name, target)
+        });
+        (typical * factor).max(min)
     }
 }
 
