--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -21,6 +21,8 @@
 const RATIO_MAX: f64 = 4.0;
 /// Weight of the newest send in the failure rate: averages over about a second at a busy home.
 const FAILURE_ALPHA: f64 = 0.01;
+/// Weight of the newest request in the rate of unserved ones.
+pub(super) const UNSERVED_ALPHA: f64 = 0.02;
 /// Weight of the newest send in a server's shed rate.
 const SHED_ALPHA: f64 = 0.2;
 /// Time in which a server that shed a request is sent no other.
@@ -48,6 +50,9 @@
         if let Some(failed) = failed.filter(|_| !entry.detector.in_trial()) {
             self.failure_rate += (failed - self.failure_rate) * FAILURE_ALPHA;
         }
+        if let Some(failed) = failed {
+            self.unserved_rate += (failed - self.unserved_rate) * UNSERVED_ALPHA;
+        }
         entry.own_running = entry.own_running.saturating_sub(1);
         entry.detector.set_in_trial(false);
         match outcome {
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -195,6 +195,8 @@
     share: f64,
     /// Moving average of the share of sends that fail, without trials.
     failure_rate: f64,
+    /// Moving average of the share of requests that are refused or fail.
+    unserved_rate: f64,
     /// Highest priority seen so far; 0 is the highest possible.
     top_priority: u8,
     retry_budget: RetryBudget,
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -10,6 +10,7 @@
 use super::RefusalCause;
 use super::RequestInfo;
 use super::Waiter;
+use super::finish::UNSERVED_ALPHA;
 use crate::hedge;
 
 /// Share of the retry budget that is reserved for requests of the highest priority.
@@ -113,6 +114,7 @@
         let average = self.typical_duration(&request.route, request.target_latency);
         let room = request.deadline.saturating_sub(now);
         if self.queue.len() >= self.options.queue_max || wait.saturating_add(average) > room {
+            self.unserved_rate += (1.0 - self.unserved_rate) * UNSERVED_ALPHA;
             let retry_after = wait.saturating_add(average).saturating_sub(room);
             return Self::refuse(RefusalCause::NoRoom, retry_after);
         }
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -24,6 +24,11 @@
 /// Time without a complete response after which a healthy server is sent a request before suspects
 /// are: half of the time in which each healthy server should get one.
 const VISIT_INTERVAL: Duration = Duration::from_secs(1);
+/// Share of the servers that must be in use while requests go unserved: seven in ten by the users'
+/// rules, and some more, since some servers in use are failing ones.
+const FLOOR_SHARE: f64 = 0.8;
+/// Share of unserved requests from which the floor counts, half of the users' limit.
+const UNSERVED_MAX: f64 = 0.05;
 /// Average durations that must remain before the deadline for a trial, so that the request can be
 /// sent again.
 const TRIAL_DURATIONS: u32 = 3;
@@ -65,6 +70,9 @@
             return Some(key);
         }
         let healthy = self.cheapest(request, now, |entry| !entry.detector.is_suspect());
+        if let Some(key) = self.returning(request, healthy.is_none(), now) {
+            return Some(key);
+        }
         if healthy.is_some() || !allow_suspect {
             return healthy;
         }
@@ -114,6 +122,34 @@
             .map(|(key, _)| key)
     }
 
+    /// An idle suspect that a request which can't be sent again gives a chance to return. Services
+    /// that get no other requests have no other trials, and lose all their servers to suspicion one
+    /// by one. Only while too few servers are in use and requests go unserved, or none of the healthy
+    /// ones is free: each trial may cost its request.
+    fn returning(&self, request: &RequestInfo, none_free: bool, now: Moment) -> Option<ServerKey> {
+        if request.may_explore() || !(none_free || self.is_under_floor()) {
+            return None;
+        }
+        self.servers
+            .iter()
+            .filter(|(key, entry)| {
+                let idle = entry.load() == 0 && now >= entry.backoff_until;
+                entry.is_usable()
+                    && idle
+                    && entry.detector.may_return(now)
+                    && !request.tried.contains(key)
+            })
+            .min_by_key(|(_, entry)| entry.detector.last_evidence())
+            .map(|(key, _)| key)
+    }
+
+    /// Whether fewer servers than the floor are in use while requests go unserved.
+    fn is_under_floor(&self) -> bool {
+        let healthy = self.usable_count() - self.suspect_count();
+        self.unserved_rate > UNSERVED_MAX
+            && (healthy as f64) < self.usable_count() as f64 * FLOOR_SHARE
+    }
+
     fn cheapest(
         &self,
         request: &RequestInfo,
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -41,6 +41,7 @@
             mean_duration: INITIAL_DURATION_SECS,
             share: 1.0,
             failure_rate: INITIAL_FAILURE_RATE,
+            unserved_rate: 0.0,
             top_priority: u8::MAX,
             retry_budget,
         }
--- a/crates/wb-balance/src/detector.rs
+++ b/crates/wb-balance/src/detector.rs
@@ -101,6 +101,8 @@
     /// Evidence that peers reported.
     peers: Score,
     last_success: Option<Moment>,
+    /// When the newest evidence was recorded, own or reported.
+    last_evidence: Moment,
     /// Complete responses since the last failure.
     success_streak: u32,
     /// Moving average of the share of requests that succeed.
@@ -116,6 +118,7 @@
             own: Score::default(),
             peers: Score::default(),
             last_success: None,
+            last_evidence: Moment::ZERO,
             success_streak: 0,
             success_rate: 1.0,
             failed_trials: 0,
@@ -131,6 +134,7 @@
     pub fn record(&mut self, evidence: Evidence, now: Moment) -> bool {
         let was_suspect = self.is_suspect();
         self.own.add(evidence);
+        self.last_evidence = now;
         self.update_rates(evidence);
         if evidence == Evidence::Good {
             self.peers.add(evidence);
@@ -151,6 +155,7 @@
             Evidence::Unreachable => Evidence::Overdue,
             other => other,
         });
+        self.last_evidence = now;
         self.update_rates(evidence);
         if evidence == Evidence::Good && !self.own.suspect {
             self.last_success = Some(now);
@@ -230,6 +235,18 @@
         self.in_trial
     }
 
+    /// Whether a suspect may get a request that can't be sent again: its last request succeeded, or
+    /// nothing was heard of it for as long as a trial is put off at most.
+    pub fn may_return(&self, now: Moment) -> bool {
+        let silent = now.saturating_sub(self.last_evidence) >= TRIAL_DELAY_MAX;
+        self.is_suspect() && !self.in_trial && (silent || self.success_streak > 0)
+    }
+
+    /// When the newest evidence was recorded.
+    pub fn last_evidence(&self) -> Moment {
+        self.last_evidence
+    }
+
     /// Marks a trial as started or ended.
     pub fn set_in_trial(&mut self, in_trial: bool) {
         self.in_trial = in_trial;
