--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -135,7 +135,13 @@
         } else {
             evidence
         };
-        (was_suspect || changed || !good).then(|| self.report(reported, changed))
+        // That a path is still cut for this instance says nothing to the others.
+        let news = match evidence {
+            Evidence::Good => was_suspect,
+            Evidence::Unreachable => !was_suspect,
+            _ => true,
+        };
+        (changed || news).then(|| self.report(reported, changed))
     }
 
     fn report(&self, evidence: Evidence, changed: bool) -> EvidenceReport {
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -197,6 +197,8 @@
     failure_rate: f64,
     /// Moving average of the share of requests that are refused or fail.
     unserved_rate: f64,
+    /// Trials that requests which can't be sent again may make: grows with each of them.
+    return_allowance: f64,
     /// Highest priority seen so far; 0 is the highest possible.
     top_priority: u8,
     retry_budget: RetryBudget,
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -11,6 +11,8 @@
 use super::RequestInfo;
 use super::Waiter;
 use super::finish::UNSERVED_ALPHA;
+use super::pick::RETURN_MAX;
+use super::pick::RETURN_SHARE;
 use crate::hedge;
 
 /// Share of the retry budget that is reserved for requests of the highest priority.
@@ -100,6 +102,9 @@
         if !untried {
             return Self::refuse(RefusalCause::NoServer, RETRY_AFTER_MIN);
         }
+        if !request.may_explore() {
+            self.return_allowance = (self.return_allowance + RETURN_SHARE).min(RETURN_MAX);
+        }
         let ahead = self.queued_ahead(&request);
         let key = if ahead == 0 {
             self.pick(&request, self.may_use_suspect(&request, now, now), now)
@@ -114,6 +119,9 @@
         let average = self.typical_duration(&request.route, request.target_latency);
         let room = request.deadline.saturating_sub(now);
         if self.queue.len() >= self.options.queue_max || wait.saturating_add(average) > room {
+            if let Some(key) = self.returning(&request, now) {
+                return Decision::Send(self.assign(key, now));
+            }
             self.unserved_rate += (1.0 - self.unserved_rate) * UNSERVED_ALPHA;
             let retry_after = wait.saturating_add(average).saturating_sub(room);
             return Self::refuse(RefusalCause::NoRoom, retry_after);
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -29,6 +29,10 @@
 const FLOOR_SHARE: f64 = 0.8;
 /// Share of unserved requests from which the floor counts, half of the users' limit.
 const UNSERVED_MAX: f64 = 0.05;
+/// Share of the requests that can't be sent again which may be trials of suspects.
+pub(super) const RETURN_SHARE: f64 = 0.05;
+/// Most such trials at a time.
+pub(super) const RETURN_MAX: f64 = 3.0;
 /// Average durations that must remain before the deadline for a trial, so that the request can be
 /// sent again.
 const TRIAL_DURATIONS: u32 = 3;
@@ -50,7 +54,7 @@
 impl RequestInfo {
     /// Whether the request may go to a server of unknown health: it can be sent again after a
     /// failure.
-    fn may_explore(&self) -> bool {
+    pub(super) fn may_explore(&self) -> bool {
         self.idempotent && self.tried.is_empty() && self.attempts_left > 1
     }
 }
@@ -70,7 +74,10 @@
             return Some(key);
         }
         let healthy = self.cheapest(request, now, |entry| !entry.detector.is_suspect());
-        if let Some(key) = self.returning(request, healthy.is_none(), now) {
+        let waited = healthy.is_none() && allow_suspect;
+        if (waited || self.is_under_floor())
+            && let Some(key) = self.returning(request, now)
+        {
             return Some(key);
         }
         if healthy.is_some() || !allow_suspect {
@@ -124,10 +131,9 @@
 
     /// An idle suspect that a request which can't be sent again gives a chance to return. Services
     /// that get no other requests have no other trials, and lose all their servers to suspicion one
-    /// by one. Only while too few servers are in use and requests go unserved, or none of the healthy
-    /// ones is free: each trial may cost its request.
-    fn returning(&self, request: &RequestInfo, none_free: bool, now: Moment) -> Option<ServerKey> {
-        if request.may_explore() || !(none_free || self.is_under_floor()) {
+    /// by one. Each trial may cost its request.
+    pub(super) fn returning(&self, request: &RequestInfo, now: Moment) -> Option<ServerKey> {
+        if request.may_explore() {
             return None;
         }
         self.servers
@@ -143,10 +149,12 @@
             .map(|(key, _)| key)
     }
 
-    /// Whether fewer servers than the floor are in use while requests go unserved.
+    /// Whether fewer servers than the floor are in use while requests go unserved, and trials by
+    /// requests that can't be sent again are allowed.
     fn is_under_floor(&self) -> bool {
         let healthy = self.usable_count() - self.suspect_count();
-        self.unserved_rate > UNSERVED_MAX
+        self.return_allowance >= 1.0
+            && self.unserved_rate > UNSERVED_MAX
             && (healthy as f64) < self.usable_count() as f64 * FLOOR_SHARE
     }
 
@@ -224,6 +232,7 @@
         let trial = entry.detector.is_suspect();
         if trial {
             entry.detector.set_in_trial(true);
+            self.return_allowance = (self.return_allowance - 1.0).max(0.0);
         }
         Box::new(Assignment {
             key,
--- a/crates/wb-balance/src/detector.rs
+++ b/crates/wb-balance/src/detector.rs
@@ -39,6 +39,8 @@
 /// Longest delay between trials, within the two seconds in which a healthy server should get a
 /// request.
 const TRIAL_DELAY_MAX: Duration = Duration::from_millis(1200);
+/// Longest time without evidence after which a suspect gets a request that can't be sent again.
+const RETURN_DELAY_MAX: Duration = Duration::from_secs(5);
 
 /// What one request showed about its server.
 #[derive(
@@ -236,9 +238,11 @@
     }
 
     /// Whether a suspect may get a request that can't be sent again: its last request succeeded, or
-    /// nothing was heard of it for as long as a trial is put off at most.
+    /// there was no evidence for a time that grows with each failed trial.
     pub fn may_return(&self, now: Moment) -> bool {
-        let silent = now.saturating_sub(self.last_evidence) >= TRIAL_DELAY_MAX;
+        let growth = TRIAL_DELAY_GROWTH.powi(self.failed_trials.min(8) as i32);
+        let delay = TRIAL_DELAY_MAX.mul_f64(growth).min(RETURN_DELAY_MAX);
+        let silent = now.saturating_sub(self.last_evidence) >= delay;
         self.is_suspect() && !self.in_trial && (silent || self.success_streak > 0)
     }
 
