fix: suspect servers of a service with orders only come back

Suspicion had no end without evidence: at 26 s, 60 of 93 servers were suspect, some since 1.2 s, most after two slow answers. Ruled out: homes that disagree (all 88 instances held the same suspects), the time after a shed.

--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -199,6 +199,8 @@
     unserved_rate: f64,
     /// Trials that requests which can't be sent again may make: grows with each of them.
     return_allowance: f64,
+    /// When the evidence on suspects was last updated.
+    decayed_at: Moment,
     /// Highest priority seen so far; 0 is the highest possible.
     top_priority: u8,
     retry_budget: RetryBudget,
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -43,6 +43,7 @@
             failure_rate: INITIAL_FAILURE_RATE,
             unserved_rate: 0.0,
             return_allowance: 0.0,
+            decayed_at: Moment::ZERO,
             top_priority: u8::MAX,
             retry_budget,
         }
@@ -91,6 +92,18 @@
         self.keys.insert(listed.server.name.clone(), key);
     }
 
+    /// Lets the evidence on suspects decay. Returns the servers that are no longer suspect.
+    pub fn decay(&mut self, now: Moment) -> Vec<ServerName> {
+        let passed = now.saturating_sub(self.decayed_at);
+        self.decayed_at = now;
+        let entries = self.servers.values_mut();
+        let cleared = entries.filter_map(|entry| {
+            let cleared = entry.detector.decay(passed);
+            cleared.then(|| entry.server.name.clone())
+        });
+        cleared.collect()
+    }
+
     /// Sets the share of the fleet's requests that this instance handles, 0 to 1.
     pub fn set_share(&mut self, share: f64) {
         self.share = share.clamp(0.001, 1.0);
--- a/crates/wb-balance/src/detector.rs
+++ b/crates/wb-balance/src/detector.rs
@@ -39,6 +39,11 @@
 /// Longest delay between trials, within the two seconds in which a healthy server should get a
 /// request.
 const TRIAL_DELAY_MAX: Duration = Duration::from_millis(1200);
+/// Time constant of the decay of a suspect's score: a server without trials is cleared after some
+/// eight seconds.
+const DECAY_TIME: Duration = Duration::from_secs(5);
+/// Score below which decay clears a suspect, in nats.
+const CLEARED_SCORE: f64 = 1.0;
 /// Longest time without evidence after which a suspect gets a request that can't be sent again.
 const RETURN_DELAY_MAX: Duration = Duration::from_secs(5);
 
@@ -80,6 +85,8 @@
             Evidence::Good => -GOOD_WEIGHT,
             Evidence::Failed | Evidence::Overdue | Evidence::Stale => FAILED_WEIGHT,
             Evidence::Cut | Evidence::Unreachable => CUT_WEIGHT,
+            // The server is still failing, so its score has not decayed.
+            Evidence::TrialFailed if self.suspect => (SUSPECT_SCORE - self.sum).max(0.0),
             Evidence::TrialFailed => 0.0,
         };
         self.sum = (self.sum + weight).max(0.0);
@@ -93,6 +100,16 @@
             self.sum = self.sum.min(SCORE_MAX);
         }
     }
+
+    fn decay(&mut self, factor: f64) {
+        if !self.suspect {
+            return;
+        }
+        self.sum *= factor;
+        if self.sum < CLEARED_SCORE {
+            *self = Self::default();
+        }
+    }
 }
 
 /// Failure detector of one server.
@@ -166,6 +183,19 @@
         was_suspect != self.is_suspect()
     }
 
+    /// Lets the evidence on a suspect decay, `passed` after the last call: failing servers mostly
+    /// recover within seconds. Returns whether the server was cleared.
+    pub fn decay(&mut self, passed: Duration) -> bool {
+        if !self.is_suspect() || self.in_trial {
+            return false;
+        }
+        let factor = (-passed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp();
+        self.own.decay(factor);
+        self.peers.decay(factor);
+        self.success_rate = 1.0 - (1.0 - self.success_rate) * factor;
+        !self.is_suspect()
+    }
+
     fn update_rates(&mut self, evidence: Evidence) {
         self.success_streak = match evidence {
             Evidence::Good => self.success_streak.saturating_add(1),
--- a/crates/wb-gateway/src/peers/heartbeat.rs
+++ b/crates/wb-gateway/src/peers/heartbeat.rs
@@ -6,6 +6,7 @@
 
 use wb_event::Event;
 use wb_event::line;
+use wb_types::id::Moment;
 use wb_types::id::ServerName;
 use wb_types::id::ServiceName;
 
@@ -67,6 +68,7 @@
         .steering
         .set_required_cores(slots as f32 * CORES_PER_SLOT);
     crate::follow::servers::expire(context, &mut state);
+    decay_evidence(&mut state, now);
     update_homes(context, &mut state);
     if state.steering.is_candidate() && !context.is_leaving() {
         let packet = heartbeat(context, &state, false);
@@ -79,6 +81,25 @@
     metrics.lines_dropped.set(wb_event::line::dropped() as i64);
 }
 
+/// Lets the evidence on suspect servers decay, and logs those that are cleared by it.
+fn decay_evidence(state: &mut State, now: Moment) {
+    for (name, service) in &mut state.services {
+        let cleared = service.balancer.decay(now);
+        for server in &cleared {
+            line!(
+                Event::Health,
+                service = name,
+                server = server,
+                evidence = "decayed",
+                suspect = false
+            );
+        }
+        if !cleared.is_empty() {
+            service.release_queued(now);
+        }
+    }
+}
+
 /// Recomputes the homes. If they change, drops what the former ones reported, logs the change and
 /// updates this instance's share.
 pub fn update_homes(context: &Context, state: &mut State) {
