--- a/crates/wb-balance/tests/floor.rs
+++ b/crates/wb-balance/tests/floor.rs
@@ -105,7 +105,7 @@
                 balancer.record_evidence(*key, Evidence::Overdue, now);
             }
         }
-        if now.as_millis() as u64 % DECAY_INTERVAL_MS == 0 {
+        if (now.as_millis() as u64).is_multiple_of(DECAY_INTERVAL_MS) {
             balancer.decay(now);
         }
         let mut assigned = Vec::new();
