--- a/crates/wb-gateway/src/proxy/routed.rs
+++ b/crates/wb-gateway/src/proxy/routed.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use http::StatusCode;
 use http::request::Parts;
+use wb_http::serve::ReceivedAt;
 use wb_route::Route;
 use wb_types::id::Moment;
 use wb_types::id::ServiceName;
@@ -60,7 +61,7 @@
     pub routes_version: u64,
     /// Service that executes it.
     pub service: ServiceName,
-    /// When its head was read.
+    /// When it was received. It may have waited behind another request on its connection.
     pub arrived: Moment,
     /// When the complete response is due.
     pub deadline: Moment,
@@ -78,7 +79,9 @@
     /// A [`Rejection`] if there is no route, the head is too large, the request id is missing, or
     /// the instance takes no requests.
     pub fn read(context: &Context, head: Parts) -> Result<Self, Rejection> {
-        let arrived = context.now();
+        let received = head.extensions.get::<ReceivedAt>();
+        let waited = received.map_or(Duration::ZERO, |received| received.0.elapsed());
+        let arrived = context.now().saturating_sub(waited);
         if context.is_closing() {
             return Err(Rejection::retry_later("leaving", LEAVING_RETRY));
         }
