fix: bytes without end from a server are bounded

Cause: a response without a length or in chunks was collected whole, whatever its size, so that a faulty server could fill the memory of an instance (160 MB on the small ones) until the request's deadline; and interim responses, chunk sizes or trailers could go on without end: 230 MB were read in 1.5 s. Change: only the first 256 KiB of a body are buffered, the rest is streamed and cut off at the request's deadline; an error response that large is no answer.

--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -1,18 +1,14 @@
 //! One attempt of a request at one server.
 
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task;
-use std::task::Poll;
-use std::task::ready;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body::Frame;
 use http_body_util::BodyExt;
 use wb_balance::AttemptOutcome;
 use wb_balance::Evidence;
@@ -25,11 +21,13 @@
 use wb_http::header::end_to_end;
 use wb_http::pool::Connection;
 use wb_http::pool::PooledResponse;
+use wb_http::pool::ResponseBody;
 use wb_types::id::Moment;
 
 use super::routed::RoutedRequest;
 use super::routed::header_text;
 use super::slot::Slot;
+use super::streamed::StreamedBody;
 use crate::Context;
 
 /// Connections to backend servers. A new one takes a few milliseconds, so half a second without one
@@ -275,7 +273,7 @@
 /// Response of a server, checked.
 enum CheckedResponse {
     Buffered(Response<Bytes>),
-    Streaming(PooledResponse),
+    Streaming(PooledResponse, Bytes),
     Shed,
     Misdirected,
     Invalid(String),
@@ -303,17 +301,44 @@
     if status.is_success() && (!signed || echoed.is_none()) {
         return CheckedResponse::Invalid("success without request id or signature".to_owned());
     }
-    let size = http_body::Body::size_hint(response.body());
-    if size.lower() > BUFFER_MAX {
-        return CheckedResponse::Streaming(response);
-    }
-    let (parts, stream) = response.into_parts();
-    match stream.collect().await {
-        Ok(data) => CheckedResponse::Buffered(Response::from_parts(parts, data.to_bytes())),
+    let (parts, mut stream) = response.into_parts();
+    match read_prefix(&mut stream).await {
+        Ok(Prefix::Whole(data)) => CheckedResponse::Buffered(Response::from_parts(parts, data)),
+        Ok(Prefix::Part(data)) if status.is_success() => {
+            CheckedResponse::Streaming(Response::from_parts(parts, stream), data)
+        }
+        Ok(Prefix::Part(_)) => {
+            CheckedResponse::Invalid(format!("{status} with more than {BUFFER_MAX} bytes"))
+        }
         Err(err) => CheckedResponse::Invalid(err.to_string()),
     }
 }
 
+/// First bytes of a body.
+enum Prefix {
+    /// All of it.
+    Whole(Bytes),
+    /// More than is buffered; the rest can still be read.
+    Part(Bytes),
+}
+
+/// Reads a body up to the size that is buffered. A faulty server may send without end.
+async fn read_prefix(body: &mut ResponseBody) -> Result<Prefix, hyper::Error> {
+    let mut bytes = BytesMut::new();
+    if http_body::Body::size_hint(body).lower() > BUFFER_MAX {
+        return Ok(Prefix::Part(bytes.freeze()));
+    }
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if bytes.len() as u64 > BUFFER_MAX {
+            return Ok(Prefix::Part(bytes.freeze()));
+        }
+    }
+    Ok(Prefix::Whole(bytes.freeze()))
+}
+
 fn finish(
     context: &Context,
     routed: &RoutedRequest,
@@ -339,14 +364,11 @@
                 Outcome::Response(response)
             }
         }
-        CheckedResponse::Streaming(response) => {
+        CheckedResponse::Streaming(response, prefix) => {
             let (mut parts, stream) = response.into_parts();
             parts.headers = end_to_end(&parts.headers);
-            let streamed = StreamedBody {
-                body: stream,
-                slot: Some(slot),
-                took,
-            };
+            let remaining = routed.deadline.saturating_sub(context.now());
+            let streamed = StreamedBody::new(prefix, stream, slot, took, remaining);
             Outcome::Response(Response::from_parts(parts, body::boxed(streamed)))
         }
         CheckedResponse::Shed => {
@@ -379,41 +401,3 @@
         body: None,
     }
 }
-
-/// Body of a streamed response. Holds the slot until the body has ended.
-struct StreamedBody {
-    body: wb_http::pool::ResponseBody,
-    slot: Option<Slot>,
-    took: Duration,
-}
-
-impl http_body::Body for StreamedBody {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        let outcome = match &frame {
-            Some(Ok(_)) => None,
-            Some(Err(_)) => Some(AttemptOutcome::Failure(Evidence::Cut)),
-            None => Some(AttemptOutcome::Success(self.took)),
-        };
-        if let Some(outcome) = outcome
-            && let Some(slot) = self.slot.take()
-        {
-            slot.release(outcome);
-        }
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> http_body::SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 //! - [`forward`]: attempts, retries and hedged attempts.
 //! - [`slot`]: slots at backend servers.
 //! - [`attempt`]: one attempt at one server.
+//! - [`streamed`]: responses that are too large to buffer.
 //! - [`response`]: responses of the daemon itself, and the log lines and metrics of a finished
 //!   request.
 
@@ -14,6 +15,7 @@
 pub mod response;
 pub mod routed;
 pub mod slot;
+pub mod streamed;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/wb-gateway/src/proxy/streamed.rs
@@ -0,0 +1,98 @@
+//! Responses that are too large to buffer.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Frame;
+use tokio::time::Sleep;
+use wb_balance::AttemptOutcome;
+use wb_balance::Evidence;
+use wb_http::body::BoxError;
+use wb_http::pool::ResponseBody;
+
+use super::slot::Slot;
+
+/// Body of a streamed response. Holds the slot until the body has ended. A body that has not ended
+/// at the request's deadline is cut off, since a faulty server may send without end.
+pub struct StreamedBody {
+    /// Bytes that were read before the response was passed on.
+    prefix: Option<Bytes>,
+    body: ResponseBody,
+    slot: Option<Slot>,
+    /// Time from the start of the attempt to the first bytes of the body.
+    took: Duration,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl StreamedBody {
+    /// Creates the body of a response that is due within `remaining`.
+    pub fn new(
+        prefix: Bytes,
+        body: ResponseBody,
+        slot: Slot,
+        took: Duration,
+        remaining: Duration,
+    ) -> Self {
+        Self {
+            prefix: Some(prefix).filter(|prefix| !prefix.is_empty()),
+            body,
+            slot: Some(slot),
+            took,
+            deadline: Box::pin(tokio::time::sleep(remaining)),
+        }
+    }
+
+    fn release(&mut self, outcome: AttemptOutcome) {
+        if let Some(slot) = self.slot.take() {
+            slot.release(outcome);
+        }
+    }
+}
+
+impl http_body::Body for StreamedBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if let Some(prefix) = self.prefix.take() {
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            self.release(AttemptOutcome::Failure(Evidence::Failed));
+            let error = "the response did not end before the deadline";
+            return Poll::Ready(Some(Err(error.into())));
+        }
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        match &frame {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => self.release(AttemptOutcome::Failure(Evidence::Cut)),
+            None => {
+                let took = self.took;
+                self.release(AttemptOutcome::Success(took));
+            }
+        }
+        Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.prefix.is_none() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        let prefix = self.prefix.as_ref().map_or(0, Bytes::len) as u64;
+        let rest = self.body.size_hint();
+        let mut hint = http_body::SizeHint::new();
+        hint.set_lower(rest.lower() + prefix);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + prefix);
+        }
+        hint
+    }
+}
--- a/crates/wb-http/src/pool/connect.rs
+++ b/crates/wb-http/src/pool/connect.rs
@@ -15,6 +15,8 @@
 use super::OpenGuard;
 use super::Pool;
 use super::SendOptions;
+use super::metered::Meter;
+use super::metered::Metered;
 
 /// Shortest interval of TCP keepalive probes; the kernel counts in whole seconds.
 const KEEPALIVE_INTERVAL_MIN: Duration = Duration::from_secs(1);
@@ -61,9 +63,10 @@
         let opening = TcpStream::connect(address);
         let stream = tokio::time::timeout(self.inner.options.connect_timeout, opening).await??;
         configure(&stream, self.inner.options.ack_timeout)?;
+        let meter = Meter::default();
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_MAX)
-            .handshake(TokioIo::new(stream));
+            .handshake(TokioIo::new(Metered::new(stream, meter.clone())));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         tokio::spawn(connection);
         Ok(IdleConnection {
@@ -71,6 +74,7 @@
             guard,
             idle_since: Instant::now(),
             reused: false,
+            meter,
         })
     }
 
--- a/crates/wb-http/src/pool/mod.rs
+++ b/crates/wb-http/src/pool/mod.rs
@@ -4,6 +4,7 @@
 //! only if no byte of it was sent. A connection whose response was abandoned is not reused.
 
 mod connect;
+mod metered;
 mod response_body;
 mod send;
 
@@ -21,6 +22,7 @@
 use crate::Body;
 
 pub(crate) use connect::configure;
+use metered::Meter;
 pub use response_body::ResponseBody;
 pub use send::Connection;
 
@@ -80,6 +82,7 @@
     guard: OpenGuard,
     idle_since: Instant,
     reused: bool,
+    meter: Meter,
 }
 
 impl IdleConnection {
--- a/crates/wb-http/src/pool/response_body.rs
+++ b/crates/wb-http/src/pool/response_body.rs
@@ -84,6 +84,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let (Some(Ok(frame)), Some(lease)) = (&frame, &self.lease)
+            && frame.is_data()
+        {
+            lease.connection.meter.claim();
+        }
         match &frame {
             None => self.release(),
             Some(Ok(_)) if http_body::Body::is_end_stream(&self.body) => self.release(),
--- a/crates/wb-http/src/pool/send.rs
+++ b/crates/wb-http/src/pool/send.rs
@@ -88,6 +88,7 @@
         let idle_time = inner.idle_time();
         match inner.sender.try_send_request(request).await {
             Ok(response) => {
+                inner.meter.claim();
                 Ok(response.map(|body| ResponseBody::new(body, idle_time, inner, pool)))
             }
             Err(mut err) => match err.take_message() {
