fix: trials cost no request that would have been served without them

Change: orders are trials only where fewer than 15 in 100 requests could be repeated, after three seconds without evidence (in two logs half of the servers had recovered by then, a third after one second); a trial needs a retry that the budget allows; evidence decays with six seconds.

--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -49,8 +49,6 @@
         };
         if let Some(failed) = failed.filter(|_| !entry.detector.in_trial()) {
             self.failure_rate += (failed - self.failure_rate) * FAILURE_ALPHA;
-        }
-        if let Some(failed) = failed {
             self.unserved_rate += (failed - self.unserved_rate) * UNSERVED_ALPHA;
         }
         entry.own_running = entry.own_running.saturating_sub(1);
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -197,6 +197,8 @@
     failure_rate: f64,
     /// Moving average of the share of requests that are refused or fail.
     unserved_rate: f64,
+    /// Moving average of the share of requests that can be sent again.
+    explorer_share: f64,
     /// Trials that requests which can't be sent again may make: grows with each of them.
     return_allowance: f64,
     /// When the evidence on suspects was last updated.
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -20,6 +20,8 @@
 /// Share of the retry budget that hedged sends must leave unless they are urgent, since the slow
 /// first send mostly succeeds anyway.
 const HEDGE_RESERVED_SHARE: f64 = 0.6;
+/// Weight of the newest request in the share of those that can be sent again.
+const EXPLORER_ALPHA: f64 = 0.02;
 /// Shortest time after which a refused request may be tried again.
 pub const RETRY_AFTER_MIN: Duration = Duration::from_millis(200);
 /// Longest time after which a refused request may be tried again.
@@ -30,17 +32,23 @@
     pub fn admit(&mut self, request: RequestInfo, now: Moment) -> Decision {
         self.retry_budget.record_request(now);
         self.top_priority = self.top_priority.min(request.priority);
+        let explorer = f64::from(u8::from(request.may_explore()));
+        self.explorer_share += (explorer - self.explorer_share) * EXPLORER_ALPHA;
         self.decide(request, now)
     }
 
     /// Decides on a request that a server shed or that is retried. Uses the retry budget.
     pub fn retry(&mut self, request: RequestInfo, now: Moment) -> Decision {
-        let reserved = if request.priority > self.top_priority {
+        self.decide_within_budget(self.reserved_share(&request), request, now)
+    }
+
+    /// Share of the retry budget that a request must leave to those of a higher priority.
+    pub(super) fn reserved_share(&self, request: &RequestInfo) -> f64 {
+        if request.priority > self.top_priority {
             RESERVED_SHARE
         } else {
             0.0
-        };
-        self.decide_within_budget(reserved, request, now)
+        }
     }
 
     /// Decides on a hedged send, a second one while the first takes long. It goes to a free slot that
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -27,8 +27,10 @@
 /// Share of the servers that must be in use while requests go unserved: seven in ten by the users'
 /// rules, and some more, since some servers in use are failing ones.
 const FLOOR_SHARE: f64 = 0.8;
-/// Share of unserved requests from which the floor counts, half of the users' limit.
-const UNSERVED_MAX: f64 = 0.05;
+/// Share of unserved requests from which the floor counts, well below the users' limit of a tenth.
+const UNSERVED_MAX: f64 = 0.06;
+/// Share of requests that can be sent again from which they suffice for the trials of suspects.
+const EXPLORER_SHARE_MIN: f64 = 0.15;
 /// Share of the requests that can't be sent again which may be trials of suspects.
 pub(super) const RETURN_SHARE: f64 = 0.05;
 /// Most such trials at a time.
@@ -119,7 +121,11 @@
     /// for it.
     pub(super) fn due_trial(&self, request: &RequestInfo, now: Moment) -> Option<ServerKey> {
         let room = self.typical_duration(&request.route, request.target_latency) * TRIAL_DURATIONS;
-        if !request.may_explore() || now + room > request.deadline {
+        // A trial that can't be retried would cost its request.
+        let retry = self
+            .retry_budget
+            .has_room(self.reserved_share(request), now);
+        if !request.may_explore() || now + room > request.deadline || !retry {
             return None;
         }
         self.servers
@@ -130,10 +136,10 @@
     }
 
     /// An idle suspect that a request which can't be sent again gives a chance to return. Services
-    /// that get no other requests have no other trials, and lose all their servers to suspicion one
-    /// by one. Each trial may cost its request.
+    /// that get few other requests have few other trials, and lose all their servers to suspicion
+    /// one by one. Each trial may cost its request.
     pub(super) fn returning(&self, request: &RequestInfo, now: Moment) -> Option<ServerKey> {
-        if request.may_explore() {
+        if request.idempotent || self.explorer_share >= EXPLORER_SHARE_MIN {
             return None;
         }
         self.servers
--- a/crates/wb-balance/src/detector.rs
+++ b/crates/wb-balance/src/detector.rs
@@ -40,12 +40,15 @@
 /// request.
 const TRIAL_DELAY_MAX: Duration = Duration::from_millis(1200);
 /// Time constant of the decay of a suspect's score: a server without trials is cleared after some
-/// eight seconds.
-const DECAY_TIME: Duration = Duration::from_secs(5);
+/// ten seconds, when nine in ten have recovered.
+const DECAY_TIME: Duration = Duration::from_secs(6);
 /// Score below which decay clears a suspect, in nats.
 const CLEARED_SCORE: f64 = 1.0;
-/// Longest time without evidence after which a suspect gets a request that can't be sent again.
-const RETURN_DELAY_MAX: Duration = Duration::from_secs(5);
+/// Time without evidence after which a suspect may get a request that can't be sent again: half of
+/// the failing servers have recovered by then.
+const RETURN_DELAY: Duration = Duration::from_secs(3);
+/// Longest such time, after failed trials.
+const RETURN_DELAY_MAX: Duration = Duration::from_secs(8);
 
 /// What one request showed about its server.
 #[derive(
@@ -271,7 +274,7 @@
     /// there was no evidence for a time that grows with each failed trial.
     pub fn may_return(&self, now: Moment) -> bool {
         let growth = TRIAL_DELAY_GROWTH.powi(self.failed_trials.min(8) as i32);
-        let delay = TRIAL_DELAY_MAX.mul_f64(growth).min(RETURN_DELAY_MAX);
+        let delay = RETURN_DELAY.mul_f64(growth).min(RETURN_DELAY_MAX);
         let silent = now.saturating_sub(self.last_evidence) >= delay;
         self.is_suspect() && !self.in_trial && (silent || self.success_streak > 0)
     }
--- a/crates/wb-balance/src/retry.rs
+++ b/crates/wb-balance/src/retry.rs
@@ -55,12 +55,17 @@
     pub fn try_spend(&mut self, reserved: f64, now: Moment) -> bool {
         self.drop_old(now);
         self.current_bucket(now);
-        let full = |start| self.sends_since(start) + 1.0 > self.allowance(start) * (1.0 - reserved);
-        if self.windows_holding(now).any(full) {
-            return false;
+        let room = self.has_room(reserved, now);
+        if room {
+            self.current_bucket(now).sends += 1.0;
         }
-        self.current_bucket(now).sends += 1.0;
-        true
+        room
+    }
+
+    /// Whether a further send would fit into the budget now, as for [`Self::try_spend`].
+    pub fn has_room(&self, reserved: f64, now: Moment) -> bool {
+        let full = |start| self.sends_since(start) + 1.0 > self.allowance(start) * (1.0 - reserved);
+        !self.windows_holding(now).any(full)
     }
 
     /// Further sends that are left in the fullest window that holds `now`.
