fix: overdue requests that end well are no evidence of failure

Change: a complete response to an overdue request takes the evidence back, here and at the peers that were told of it (evidence late, a new variant at the end of the datagram's enum).

--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -38,12 +38,12 @@
         outcome: AttemptOutcome,
         now: Moment,
     ) -> Option<EvidenceReport> {
-        if let AttemptOutcome::Success(duration) = outcome {
+        if let AttemptOutcome::Success(duration) | AttemptOutcome::Late(duration) = outcome {
             self.record_duration(key, route, duration);
         }
         let entry = self.servers.get_mut(key)?;
         let failed = match outcome {
-            AttemptOutcome::Success(_) => Some(0.0),
+            AttemptOutcome::Success(_) | AttemptOutcome::Late(_) => Some(0.0),
             AttemptOutcome::Failure(_) | AttemptOutcome::Timeout => Some(1.0),
             _ => None,
         };
@@ -58,6 +58,10 @@
                 entry.shed_rate *= 1.0 - SHED_ALPHA;
                 entry.record(Evidence::Good, now)
             }
+            AttemptOutcome::Late(_) => {
+                entry.shed_rate *= 1.0 - SHED_ALPHA;
+                entry.record(Evidence::Late, now)
+            }
             AttemptOutcome::Failure(evidence) => entry.record(evidence, now),
             AttemptOutcome::Shed => {
                 entry.shed_rate += (1.0 - entry.shed_rate) * SHED_ALPHA;
@@ -127,8 +131,7 @@
     fn record(&mut self, evidence: Evidence, now: Moment) -> Option<EvidenceReport> {
         let was_suspect = self.detector.is_suspect();
         let changed = self.detector.record(evidence, now);
-        let good = evidence == Evidence::Good;
-        let reported = if was_suspect && !good {
+        let reported = if was_suspect && !evidence.is_response() {
             Evidence::TrialFailed
         } else {
             evidence
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -114,6 +114,8 @@
 pub enum AttemptOutcome {
     /// A complete response, after this time.
     Success(Duration),
+    /// A complete response, after this time, to a request that was recorded as overdue.
+    Late(Duration),
     /// A failure that is evidence against the server.
     Failure(Evidence),
     /// The server shed the request without running it.
--- a/crates/wb-balance/src/detector.rs
+++ b/crates/wb-balance/src/detector.rs
@@ -72,6 +72,15 @@
     /// A trial of a suspect failed. It makes no server suspect, but delays the trials of other
     /// instances.
     TrialFailed,
+    /// A complete response to a request that was overdue: the server is slow, but did not fail.
+    Late,
+}
+
+impl Evidence {
+    /// Whether the server gave a complete response.
+    pub fn is_response(self) -> bool {
+        matches!(self, Self::Good | Self::Late)
+    }
 }
 
 /// Cumulative sum of one source of evidence.
@@ -83,6 +92,10 @@
 
 impl Score {
     fn add(&mut self, evidence: Evidence) {
+        if evidence == Evidence::Late {
+            self.retract(FAILED_WEIGHT);
+            return;
+        }
         let weight = match evidence {
             Evidence::Good if self.suspect => -CLEAR_WEIGHT,
             Evidence::Good => -GOOD_WEIGHT,
@@ -90,7 +103,7 @@
             Evidence::Cut | Evidence::Unreachable => CUT_WEIGHT,
             // The server is still failing, so its score has not decayed.
             Evidence::TrialFailed if self.suspect => (SUSPECT_SCORE - self.sum).max(0.0),
-            Evidence::TrialFailed => 0.0,
+            Evidence::TrialFailed | Evidence::Late => 0.0,
         };
         self.sum = (self.sum + weight).max(0.0);
         if self.suspect && self.sum == 0.0 {
@@ -104,6 +117,14 @@
         }
     }
 
+    /// Takes back evidence that has proved wrong.
+    fn retract(&mut self, weight: f64) {
+        self.sum = (self.sum - weight).max(0.0);
+        if self.sum < SUSPECT_SCORE - weight {
+            self.suspect = false;
+        }
+    }
+
     fn decay(&mut self, factor: f64) {
         if !self.suspect {
             return;
@@ -158,7 +179,7 @@
         self.own.add(evidence);
         self.last_evidence = now;
         self.update_rates(evidence);
-        if evidence == Evidence::Good {
+        if evidence.is_response() {
             self.peers.add(evidence);
             self.last_success = Some(now);
         }
@@ -179,7 +200,7 @@
         });
         self.last_evidence = now;
         self.update_rates(evidence);
-        if evidence == Evidence::Good && !self.own.suspect {
+        if evidence.is_response() && !self.own.suspect {
             self.last_success = Some(now);
         }
         self.schedule_trial(evidence, was_suspect, now);
@@ -200,11 +221,13 @@
     }
 
     fn update_rates(&mut self, evidence: Evidence) {
-        self.success_streak = match evidence {
-            Evidence::Good => self.success_streak.saturating_add(1),
-            _ => 0,
+        let response = evidence.is_response();
+        self.success_streak = if response {
+            self.success_streak.saturating_add(1)
+        } else {
+            0
         };
-        let answered = f64::from(u8::from(evidence == Evidence::Good));
+        let answered = f64::from(u8::from(response));
         self.success_rate += (answered - self.success_rate) * SUCCESS_RATE_ALPHA;
     }
 
@@ -213,7 +236,7 @@
             self.failed_trials = 0;
             return;
         }
-        if evidence == Evidence::Good {
+        if evidence.is_response() {
             self.next_trial = now;
             return;
         }
--- a/crates/wb-balance/tests/floor.rs
+++ b/crates/wb-balance/tests/floor.rs
@@ -95,14 +95,20 @@
         while let Some(Reverse((_, index))) = ends.peek().copied().filter(|next| next.0.0 <= now) {
             ends.pop();
             let (key, outcome) = running.remove(&index).expect("it runs");
-            sent[index].served = matches!(outcome, AttemptOutcome::Success(_));
+            sent[index].served = matches!(
+                outcome,
+                AttemptOutcome::Success(_) | AttemptOutcome::Late(_)
+            );
             balancer.finish(key, "orders", outcome, now);
         }
         while let Some(Reverse((_, index))) = overdue.peek().copied().filter(|next| next.0.0 <= now)
         {
             overdue.pop();
-            if let Some((key, _)) = running.get(&index) {
+            if let Some((key, outcome)) = running.get_mut(&index) {
                 balancer.record_evidence(*key, Evidence::Overdue, now);
+                if let AttemptOutcome::Success(took) = *outcome {
+                    *outcome = AttemptOutcome::Late(took);
+                }
             }
         }
         if (now.as_millis() as u64).is_multiple_of(DECAY_INTERVAL_MS) {
@@ -195,7 +201,7 @@
     ($($name:ident: $load:expr;)+) => {
         $(#[test]
         fn $name() {
-            for seed in 0..4 {
+            for seed in 0..12 {
                 let (sent, faults) = simulate(&$load, seed);
                 let found = windows_under_floor(&sent, &faults);
                 assert!(found.is_empty(), "seed {seed}: {found:?}");
--- a/crates/wb-balance/tests/trust.rs
+++ b/crates/wb-balance/tests/trust.rs
@@ -38,6 +38,9 @@
     two_successes_do_not_clear: [Cut, Good, Good] => true;
     three_successes_clear: [Cut, Good, Good, Good] => false;
     failed_trial_resets_the_progress: [Cut, Good, Good, Cut, Good, Good] => true;
+    overdue_requests_that_end_well_are_no_failures: [Overdue, Late, Overdue, Late, Overdue] => false;
+    overdue_requests_that_end_well_clear: [Overdue, Overdue, Late, Late] => false;
+    a_late_response_does_not_clear_a_server_that_cuts: [Cut, Overdue, Late] => true;
     reported_trials_do_not_make_suspect: [TrialFailed, TrialFailed, TrialFailed] => false;
 }
 
@@ -91,6 +94,29 @@
     assert!(delays.is_sorted());
 }
 
+#[test]
+fn a_suspect_without_evidence_is_cleared_in_time() {
+    let mut detector = detector_after(&[Evidence::Cut]);
+    let step = Duration::from_millis(300);
+    let cleared = (1..100).find(|_| detector.decay(step));
+    let after = step * cleared.expect("it is cleared");
+    assert!((SECOND * 6..SECOND * 12).contains(&after), "{after:?}");
+    assert!(!detector.is_suspect());
+}
+
+#[test]
+fn a_suspect_whose_trials_fail_stays_suspect() {
+    let mut own = detector_after(&[Evidence::Cut]);
+    let mut reported = FailureDetector::default();
+    reported.record_peer(Evidence::Cut, SECOND);
+    for second in 2..60 {
+        own.record(Evidence::Cut, SECOND * second);
+        reported.record_peer(Evidence::TrialFailed, SECOND * second);
+        assert!(!own.decay(SECOND));
+        assert!(!reported.decay(SECOND));
+    }
+}
+
 #[test]
 fn one_trial_at_a_time() {
     let mut detector = detector_after(&[Evidence::Cut]);
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -152,10 +152,11 @@
     };
     let response = tokio::time::timeout(remaining, response);
     tokio::pin!(response);
+    let mut slot = slot;
     let result = tokio::select! {
         result = &mut response => result,
         () = tokio::time::sleep(overdue) => {
-            slot.record_evidence(Evidence::Overdue);
+            slot.record_overdue();
             response.await
         }
     };
@@ -350,11 +351,12 @@
     match checked {
         CheckedResponse::Buffered(response) => {
             let failed = response.status().is_server_error();
-            slot.release(if failed {
+            let outcome = if failed {
                 AttemptOutcome::Failure(Evidence::Failed)
             } else {
-                AttemptOutcome::Success(took)
-            });
+                slot.success(took)
+            };
+            slot.release(outcome);
             let (mut parts, bytes) = response.into_parts();
             parts.headers = end_to_end(&parts.headers);
             let response = Response::from_parts(parts, body::full(bytes));
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -29,6 +29,7 @@
     context: Arc<Context>,
     routed: Arc<RoutedRequest>,
     released: bool,
+    overdue: bool,
 }
 
 /// Kind of the attempt for which a request needs a slot.
@@ -121,6 +122,7 @@
         context: context.clone(),
         routed: routed.clone(),
         released: false,
+        overdue: false,
     })
 }
 
@@ -208,8 +210,18 @@
             .send_packet(Packet::StaleConnection { service, cause }, to);
     }
 
-    /// Records evidence on the server while the request is still in progress.
-    pub fn record_evidence(&self, evidence: Evidence) {
+    /// Outcome of an attempt that was answered completely after `took`.
+    pub fn success(&self, took: Duration) -> AttemptOutcome {
+        if self.overdue {
+            AttemptOutcome::Late(took)
+        } else {
+            AttemptOutcome::Success(took)
+        }
+    }
+
+    /// Records as evidence that the request, still in progress, takes too long.
+    pub fn record_overdue(&mut self) {
+        self.overdue = true;
         let now = self.context.now();
         let mut state = self.context.state();
         let Some(service) = state.services.get_mut(&self.routed.service) else {
@@ -217,7 +229,7 @@
         };
         let report = service
             .balancer
-            .record_evidence(self.assignment.key, evidence, now);
+            .record_evidence(self.assignment.key, Evidence::Overdue, now);
         let to = state.steering.peer_addresses();
         drop(state);
         if let Some(report) = report {
@@ -238,7 +250,10 @@
         let report = service
             .balancer
             .finish(self.assignment.key, route, outcome, now);
-        if matches!(outcome, AttemptOutcome::Success(_)) {
+        if matches!(
+            outcome,
+            AttemptOutcome::Success(_) | AttemptOutcome::Late(_)
+        ) {
             service.record_success(self.assignment.server.name.clone());
         }
         service.release_queued(now);
@@ -293,7 +308,7 @@
 
 fn outcome_label(outcome: AttemptOutcome) -> &'static str {
     match outcome {
-        AttemptOutcome::Success(_) => "good",
+        AttemptOutcome::Success(_) | AttemptOutcome::Late(_) => "good",
         AttemptOutcome::Failure(evidence) => evidence.into(),
         AttemptOutcome::Shed => "shed",
         AttemptOutcome::Misdirected => "misdirected",
--- a/crates/wb-gateway/src/proxy/streamed.rs
+++ b/crates/wb-gateway/src/proxy/streamed.rs
@@ -74,8 +74,10 @@
             Some(Ok(_)) => {}
             Some(Err(_)) => self.release(AttemptOutcome::Failure(Evidence::Cut)),
             None => {
-                let took = self.took;
-                self.release(AttemptOutcome::Success(took));
+                if let Some(slot) = self.slot.take() {
+                    let outcome = slot.success(self.took);
+                    slot.release(outcome);
+                }
             }
         }
         Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
