fix: orders visit all healthy servers, and evidence on any server decays

Change: the score, the success rate and the duration ratio of every server decay, not only those of suspects; where few requests could be repeated, recency has no weight from 2 in 100 unserved requests on, and from 6 in 100 on orders visit healthy servers that were idle for a second. Tests: two loads of the floor simulation fail before and pass now.

--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -29,6 +29,8 @@
 const FLOOR_SHARE: f64 = 0.8;
 /// Share of unserved requests from which the floor counts, well below the users' limit of a tenth.
 const UNSERVED_MAX: f64 = 0.06;
+/// Share of unserved requests from which recency has no weight at a service without explorers.
+const UNSERVED_LOW: f64 = 0.02;
 /// Share of requests that can be sent again from which they suffice for the trials of suspects.
 const EXPLORER_SHARE_MIN: f64 = 0.15;
 /// Share of the requests that can't be sent again which may be trials of suspects.
@@ -101,9 +103,11 @@
 
     /// A healthy, idle server without a recent response, if the request may run again. Where many
     /// servers are suspect, their trials could use up all such requests, and healthy servers that
-    /// non-idempotent requests avoid would stay idle.
+    /// non-idempotent requests avoid would stay idle. While requests go unserved at a service
+    /// without explorers, others visit these servers.
     fn long_unvisited(&self, request: &RequestInfo, now: Moment) -> Option<ServerKey> {
-        if !request.may_explore() {
+        let instead = !request.idempotent && self.lacks_explorers() && self.loses_requests();
+        if !request.may_explore() && !instead {
             return None;
         }
         let servers = self.servers.iter().filter(|(_, entry)| {
@@ -139,7 +143,7 @@
     /// that get few other requests have few other trials, and lose all their servers to suspicion
     /// one by one. Each trial may cost its request.
     pub(super) fn returning(&self, request: &RequestInfo, now: Moment) -> Option<ServerKey> {
-        if request.idempotent || self.explorer_share >= EXPLORER_SHARE_MIN {
+        if request.idempotent || !self.lacks_explorers() {
             return None;
         }
         self.servers
@@ -155,12 +159,22 @@
             .map(|(key, _)| key)
     }
 
+    /// Whether too few requests arrive that can be sent again, and thus show the state of servers.
+    fn lacks_explorers(&self) -> bool {
+        self.explorer_share < EXPLORER_SHARE_MIN
+    }
+
+    /// Whether so many requests go unserved that the floor may count.
+    fn loses_requests(&self) -> bool {
+        self.unserved_rate > UNSERVED_MAX
+    }
+
     /// Whether fewer servers than the floor are in use while requests go unserved, and trials by
     /// requests that can't be sent again are allowed.
     fn is_under_floor(&self) -> bool {
         let healthy = self.usable_count() - self.suspect_count();
         self.return_allowance >= 1.0
-            && self.unserved_rate > UNSERVED_MAX
+            && self.loses_requests()
             && (healthy as f64) < self.usable_count() as f64 * FLOOR_SHARE
     }
 
@@ -226,7 +240,12 @@
     /// servers that have just begun to fail, which those with a recent response have not. While
     /// failures are common, recency is weak evidence, and sending all requests to few servers
     /// leaves healthy ones idle.
+    /// The same holds from far fewer failures on where no other requests visit the servers that are
+    /// passed over.
     fn recency_weight(&self) -> f64 {
+        if self.lacks_explorers() && self.unserved_rate > UNSERVED_LOW {
+            return 0.0;
+        }
         ((FAILURE_RATE_HIGH - self.failure_rate) / (FAILURE_RATE_HIGH - FAILURE_RATE_LOW))
             .clamp(0.0, 1.0)
     }
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -20,6 +20,9 @@
 /// Duration that is assumed before any request, in seconds.
 const INITIAL_DURATION_SECS: f64 = 0.3;
 
+/// Time constant of the decay of a server's duration ratio: slow servers recover, too.
+const SLOW_DECAY_TIME: Duration = Duration::from_secs(10);
+
 /// A listed server and its remaining warm-up.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListedServer {
@@ -93,12 +96,14 @@
         self.keys.insert(listed.server.name.clone(), key);
     }
 
-    /// Lets the evidence on suspects decay. Returns the servers that are no longer suspect.
+    /// Lets the evidence on servers decay. Returns those that are no longer suspect.
     pub fn decay(&mut self, now: Moment) -> Vec<ServerName> {
         let passed = now.saturating_sub(self.decayed_at);
         self.decayed_at = now;
+        let factor = (-passed.as_secs_f64() / SLOW_DECAY_TIME.as_secs_f64()).exp();
         let entries = self.servers.values_mut();
         let cleared = entries.filter_map(|entry| {
+            entry.duration_ratio = 1.0 + (entry.duration_ratio - 1.0) * factor;
             let cleared = entry.detector.decay(passed);
             cleared.then(|| entry.server.name.clone())
         });
--- a/crates/wb-balance/src/detector.rs
+++ b/crates/wb-balance/src/detector.rs
@@ -39,9 +39,11 @@
 /// Longest delay between trials, within the two seconds in which a healthy server should get a
 /// request.
 const TRIAL_DELAY_MAX: Duration = Duration::from_millis(1200);
-/// Time constant of the decay of a suspect's score: a server without trials is cleared after some
+/// Time constant of the decay of a server's score: a suspect without trials is cleared after some
 /// ten seconds, when nine in ten have recovered.
 const DECAY_TIME: Duration = Duration::from_secs(6);
+/// Success rate that is assumed of a server that decay has cleared.
+const CLEARED_SUCCESS_RATE: f64 = 0.95;
 /// Score below which decay clears a suspect, in nats.
 const CLEARED_SCORE: f64 = 1.0;
 /// Time without evidence after which a suspect may get a request that can't be sent again: half of
@@ -126,11 +128,8 @@
     }
 
     fn decay(&mut self, factor: f64) {
-        if !self.suspect {
-            return;
-        }
         self.sum *= factor;
-        if self.sum < CLEARED_SCORE {
+        if self.suspect && self.sum < CLEARED_SCORE {
             *self = Self::default();
         }
     }
@@ -207,17 +206,23 @@
         was_suspect != self.is_suspect()
     }
 
-    /// Lets the evidence on a suspect decay, `passed` after the last call: failing servers mostly
-    /// recover within seconds. Returns whether the server was cleared.
+    /// Lets the evidence decay, `passed` after the last call: failing servers mostly recover within
+    /// seconds, and a server that looks worse than others gets no requests that would show it.
+    /// Returns whether the server is no longer suspect.
     pub fn decay(&mut self, passed: Duration) -> bool {
-        if !self.is_suspect() || self.in_trial {
+        if self.in_trial {
             return false;
         }
+        let was_suspect = self.is_suspect();
         let factor = (-passed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp();
         self.own.decay(factor);
         self.peers.decay(factor);
         self.success_rate = 1.0 - (1.0 - self.success_rate) * factor;
-        !self.is_suspect()
+        let cleared = was_suspect && !self.is_suspect();
+        if cleared {
+            self.success_rate = self.success_rate.max(CLEARED_SUCCESS_RATE);
+        }
+        cleared
     }
 
     fn update_rates(&mut self, evidence: Evidence) {
--- a/crates/wb-balance/tests/floor.rs
+++ b/crates/wb-balance/tests/floor.rs
@@ -43,6 +43,8 @@
     failing: f64,
     /// Share of the requests that a failing server fails.
     failure_rate: f64,
+    /// Share of the requests that other servers fail.
+    usual_failures: f64,
     /// Whether a failing server lets requests hang until their deadline, or cuts them.
     hang: bool,
 }
@@ -146,7 +148,9 @@
             let tail = if rng.random_bool(0.03) { 4.0 } else { 1.0 };
             let took = Duration::from_secs_f64(work * tail / 1000.0);
             let fails = failing && rng.random_bool(load.failure_rate);
+            let errs = rng.random_bool(load.usual_failures);
             let (took, outcome) = match (fails, load.hang) {
+                (false, _) if errs => (took, AttemptOutcome::Failure(Evidence::Failed)),
                 (false, _) => (took, AttemptOutcome::Success(took)),
                 (true, false) => (at(5), AttemptOutcome::Failure(Evidence::Cut)),
                 (true, true) => (DEADLINE, AttemptOutcome::Timeout),
@@ -213,14 +217,22 @@
 stays_above_the_floor! {
     orders_at_many_small_servers_that_hang: Load {
         servers: 90, slots: 2, per_second: 330, work_ms: 160.0,
-        failing: 0.2, failure_rate: 0.65, hang: true,
+        failing: 0.2, failure_rate: 0.65, usual_failures: 0.01, hang: true,
     };
     orders_at_many_small_servers_that_cut: Load {
         servers: 90, slots: 2, per_second: 330, work_ms: 160.0,
-        failing: 0.25, failure_rate: 0.65, hang: false,
+        failing: 0.25, failure_rate: 0.65, usual_failures: 0.01, hang: false,
+    };
+    orders_at_many_small_servers_with_some_errors: Load {
+        servers: 90, slots: 2, per_second: 220, work_ms: 160.0,
+        failing: 0.1, failure_rate: 0.65, usual_failures: 0.05, hang: true,
+    };
+    orders_at_many_small_servers_with_many_errors: Load {
+        servers: 90, slots: 2, per_second: 220, work_ms: 160.0,
+        failing: 0.06, failure_rate: 0.65, usual_failures: 0.08, hang: true,
     };
     orders_at_few_small_servers_that_hang: Load {
         servers: 11, slots: 2, per_second: 43, work_ms: 160.0,
-        failing: 0.2, failure_rate: 0.65, hang: true,
+        failing: 0.2, failure_rate: 0.65, usual_failures: 0.01, hang: true,
     };
 }
