--- a/crates/wb-balance/tests/choice.rs
+++ b/crates/wb-balance/tests/choice.rs
@@ -274,3 +274,37 @@
 fn non_idempotent_requests_spread_over_all_servers_while_failures_are_common() {
     assert!(used_after(30) >= 19, "{} of 20", used_after(30));
 }
+
+/// A trial that fails and can't be retried would cost its request.
+#[test]
+fn request_is_no_trial_without_budget_for_a_retry() {
+    let mut balancer = service(3, 6);
+    prove(&mut balancer, 3, at(0));
+    let failing = cut_request(&mut balancer, at(10));
+    while balancer.retry_budget().try_spend(0.0, at(500)) {}
+    let assignment = assignment_of(balancer.admit(request(true, at(600)), at(600)));
+    assert_ne!(*assignment.server.name, *failing);
+}
+
+/// Where lookups show which servers have recovered, orders stay away from suspects, even while
+/// requests go unserved and few servers are in use.
+#[test]
+fn orders_are_no_trials_where_lookups_are_common() {
+    let mut balancer = service(10, 6);
+    prove(&mut balancer, 10, at(0));
+    let failing: HashSet<String> = (0..4).map(|_| cut_request(&mut balancer, at(10))).collect();
+    for index in 0..90 {
+        let order = index % 3 == 0;
+        let assignment = assignment_of(balancer.admit(request(!order, at(20)), at(20)));
+        let outcome = if order {
+            AttemptOutcome::Timeout
+        } else {
+            AttemptOutcome::Success(USUAL)
+        };
+        balancer.finish(assignment.key, "orders", outcome, at(20));
+    }
+    for _ in 0..20 {
+        let assignment = assignment_of(balancer.admit(request(false, at(9000)), at(9000)));
+        assert!(!failing.contains(&*assignment.server.name));
+    }
+}
