test: a server's limit is exceeded by the fleet

Six daemons, three of them homes, and a server that names a limit on stand-ins. The bound is the users': in four seconds one and a half times what the limit allows, and five requests; the callers are served by the other servers.

--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -35,6 +35,9 @@
 /// Header of responses to requests that were not executed.
 pub const NOT_EXECUTED: &str = "x-wisteriabarrow-not-executed";
 
+/// Header with the requests a second that the server takes from all instances together.
+pub const SERVER_LIMIT: &str = "server-limit";
+
 /// Limit of waiting requests at a server; further ones are shed.
 const QUEUE_MAX: u32 = 24;
 
@@ -99,6 +102,8 @@
     pub mismatch: f64,
     /// Duration of a request.
     pub work: Duration,
+    /// Limit that the server names, in requests a second; it does not enforce it.
+    pub limit: Option<f64>,
 }
 
 /// What a server does with one request.
@@ -143,6 +148,7 @@
     slots: u32,
     busy: AtomicU32,
     behaviour: Mutex<Behaviour>,
+    arrivals: Mutex<Vec<Instant>>,
     ledger: Arc<Ledger>,
 }
 
@@ -155,6 +161,7 @@
             slots: 6,
             busy: AtomicU32::new(0),
             behaviour: Mutex::default(),
+            arrivals: Mutex::default(),
             ledger,
         });
         tokio::spawn(accept(listener, server.clone()));
@@ -171,9 +178,33 @@
         *self.behaviour.lock().expect("lock is not poisoned") = behaviour;
     }
 
+    /// Returns when requests arrived, refused ones included.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        let arrivals = self.arrivals.lock().expect("lock is not poisoned");
+        arrivals.clone()
+    }
+
+    /// Handles a request, and names the limit in the response, whatever it is.
     async fn respond(&self, request: Request<Incoming>) -> io::Result<Response<Body>> {
-        let (head, incoming) = request.into_parts();
         let behaviour = *self.behaviour.lock().expect("lock is not poisoned");
+        let now = Instant::now();
+        let arrivals = self.arrivals.lock();
+        arrivals.expect("lock is not poisoned").push(now);
+        let mut response = self.handle(request, behaviour).await?;
+        if let Some(limit) = behaviour.limit {
+            let value = limit.to_string().parse();
+            let value = value.expect("a number is a valid header value");
+            response.headers_mut().insert(SERVER_LIMIT, value);
+        }
+        Ok(response)
+    }
+
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        behaviour: Behaviour,
+    ) -> io::Result<Response<Body>> {
+        let (head, incoming) = request.into_parts();
         let text = |name: &str| header(&head.headers, name);
         let Some(id) = text(REQUEST_ID) else {
             return Ok(not_executed(StatusCode::BAD_REQUEST, None));
