fix: the fleet keeps the limits that servers name

Callers saw failures and late answers of servers in need that were sent more than they had asked for: 46 requests in four seconds at a limit of 1 a second, 11 allowed.

Cause: no instance read the limit. A stated limit was received and passed on to the caller, and the choice of a server went by slots, health and load alone.

Change: what an answer says of the limit is an observation of its server, ordered against others and told to all instances. The homes divide the limit: each of at least four homes (or all, if fewer) sends at its part of the rate from an empty token bucket, so that the sum holds without a question per request; which homes, for a low limit in a large fleet, follows from the server's name. Instances that hold no part send nothing. Each choice of a server (first attempts, retries, hedges, trials, visits) passes the one gate, and each assignment takes a token. A limited server counts for its part in the estimate of waits, and an instance that may send nothing refuses at once. Homes without a part are told every ten seconds and forget the limit after 35 s of silence.

--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -3,12 +3,14 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use wb_types::id::Moment;
 use wb_types::id::ServerName;
 use wb_types::roster::Lifecycle;
 
 use super::Balancer;
 use super::ServerEntry;
 use crate::RetryBudget;
+use crate::limit::Rate;
 
 /// Ratio of a route's latency target to the duration of its requests that is assumed until one was
 /// seen: the users' targets are three to five times the usual duration.
@@ -29,6 +31,12 @@
     pub(super) fn is_usable(&self) -> bool {
         self.server.lifecycle == Lifecycle::Live && !self.misdirected
     }
+
+    /// Whether the server may be sent a request now, as far as its limit goes. Every choice of a
+    /// server depends on it.
+    pub(super) fn is_open(&self, now: Moment) -> bool {
+        self.is_usable() && self.limit.admits(now)
+    }
 }
 
 impl Balancer {
@@ -101,26 +109,26 @@
         }
     }
 
-    /// Slots of the servers that are not suspect, or of all usable servers if every one is.
-    pub(super) fn healthy_slots(&self) -> u32 {
+    /// Requests per second that this instance can send to the servers that are not suspect, or to
+    /// all usable servers if every one is.
+    pub(super) fn capacity(&self) -> Rate {
+        let by_slots = self.share / self.mean_duration;
+        let capacity = |entry: &ServerEntry| {
+            let rate = f64::from(entry.server.slots) * by_slots;
+            entry.limit.part().map_or(rate, |part| part.min(rate))
+        };
         let usable = || self.servers.values().filter(|entry| entry.is_usable());
-        let healthy: u32 = usable()
-            .filter(|entry| entry.is_healthy())
-            .map(|entry| entry.server.slots)
-            .sum();
-        if healthy > 0 {
-            return healthy;
+        if usable().any(ServerEntry::is_healthy) {
+            let healthy = usable().filter(|entry| entry.is_healthy());
+            return healthy.map(capacity).sum();
         }
-        usable().map(|entry| entry.server.slots).sum()
+        usable().map(capacity).sum()
     }
 
     /// Estimated wait until `ahead` requests have got a slot, as long as the set of healthy servers
-    /// does not change.
-    pub(super) fn estimate_wait(&self, ahead: usize) -> Duration {
-        let slots = f64::from(self.healthy_slots()) * self.share;
-        if slots <= 0.0 {
-            return Duration::MAX;
-        }
-        Duration::from_secs_f64(ahead as f64 * self.mean_duration / slots)
+    /// does not change. `None` if this instance may send no requests.
+    pub(super) fn estimate_wait(&self, ahead: usize) -> Option<Duration> {
+        let wait = ahead as f64 / self.capacity();
+        Duration::try_from_secs_f64(wait).ok()
     }
 }
--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -8,11 +8,9 @@
 use super::AttemptOutcome;
 use super::Balancer;
 use super::EvidenceReport;
-use super::LimitChange;
 use super::ServerEntry;
 use super::ServerKey;
 use crate::Evidence;
-use crate::limit::Observation;
 
 /// Weight of the newest sample in the moving average of a route's duration.
 const ROUTE_ALPHA: f64 = 0.05;
@@ -111,23 +109,6 @@
         }
     }
 
-    /// Records what a response says about the limit of its server. Returns the change, if there is
-    /// one.
-    pub fn observe_limit(
-        &mut self,
-        key: ServerKey,
-        observation: Observation,
-    ) -> Option<LimitChange> {
-        let entry = self.servers.get_mut(key)?;
-        let before = entry.limit.rate();
-        let changed = entry.limit.observe(observation);
-        changed.then(|| LimitChange {
-            server: entry.server.name.clone(),
-            limit: observation.limit,
-            before,
-        })
-    }
-
     fn record_duration(&mut self, key: ServerKey, route: &str, duration: Duration) {
         let seconds = duration.as_secs_f64();
         self.mean_duration += (seconds - self.mean_duration) * ROUTE_ALPHA;
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -7,6 +7,7 @@
 
 mod access;
 mod finish;
+mod limits;
 mod offer;
 mod pick;
 mod update;
@@ -26,8 +27,9 @@
 use crate::FailureDetector;
 use crate::Options;
 use crate::RetryBudget;
-use crate::limit::KnownLimit;
+use crate::limit::Division;
 use crate::limit::Rate;
+use crate::limit::ServerLimit;
 
 pub use offer::RETRY_AFTER_MIN;
 pub use update::ListedServer;
@@ -156,6 +158,8 @@
     pub limit: Option<Rate>,
     /// The limit before.
     pub before: Option<Rate>,
+    /// Whether other instances have to be told.
+    pub is_news: bool,
 }
 
 /// State of one server.
@@ -179,7 +183,8 @@
     warm_at: Moment,
     /// Another server answered at its address.
     misdirected: bool,
-    limit: KnownLimit,
+    /// Limit that the server has named for all instances together.
+    limit: ServerLimit,
 }
 
 /// A queued request.
@@ -224,4 +229,6 @@
     /// Highest priority seen so far; 0 is the highest possible.
     top_priority: u8,
     retry_budget: RetryBudget,
+    /// How servers' limits are divided among the instances.
+    division: Division,
 }
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -123,16 +123,18 @@
         if let Some(key) = key {
             return Decision::Send(self.assign(key, now));
         }
-        let wait = self.estimate_wait(ahead + 1);
         let average = self.typical_duration(&request.route, request.target_latency);
         let room = request.deadline.saturating_sub(now);
-        if self.queue.len() >= self.options.queue_max || wait.saturating_add(average) > room {
+        let late = match self.estimate_wait(ahead + 1) {
+            Some(wait) => wait.saturating_add(average).saturating_sub(room),
+            // Other instances hold the limits of all servers, and may serve the request at once.
+            None => return self.refuse_unserved(RETRY_AFTER_MIN),
+        };
+        if self.queue.len() >= self.options.queue_max || !late.is_zero() {
             if let Some(key) = self.returning(&request, now) {
                 return Decision::Send(self.assign(key, now));
             }
-            self.unserved_rate += (1.0 - self.unserved_rate) * UNSERVED_ALPHA;
-            let retry_after = wait.saturating_add(average).saturating_sub(room);
-            return Self::refuse(RefusalCause::NoRoom, retry_after);
+            return self.refuse_unserved(late);
         }
         Decision::Wait(self.queue.insert(Waiter {
             request,
@@ -140,6 +142,11 @@
         }))
     }
 
+    fn refuse_unserved(&mut self, retry_after: Duration) -> Decision {
+        self.unserved_rate += (1.0 - self.unserved_rate) * UNSERVED_ALPHA;
+        Self::refuse(RefusalCause::NoRoom, retry_after)
+    }
+
     fn refuse(cause: RefusalCause, retry_after: Duration) -> Decision {
         Decision::Refuse(Self::refusal(cause, retry_after))
     }
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -112,7 +112,7 @@
         }
         let servers = self.servers.iter().filter(|(_, entry)| {
             let detector = &entry.detector;
-            let idle = entry.is_usable() && entry.load() == 0 && now >= entry.backoff_until;
+            let idle = entry.is_open(now) && entry.load() == 0 && now >= entry.backoff_until;
             idle && !detector.is_suspect()
                 && detector
                     .since_success(now)
@@ -134,7 +134,7 @@
         }
         self.servers
             .iter()
-            .filter(|(_, entry)| entry.is_usable() && entry.detector.is_trial_due(now))
+            .filter(|(_, entry)| entry.is_open(now) && entry.detector.is_trial_due(now))
             .min_by_key(|(_, entry)| entry.detector.next_trial())
             .map(|(key, _)| key)
     }
@@ -150,7 +150,7 @@
             .iter()
             .filter(|(key, entry)| {
                 let idle = entry.load() == 0 && now >= entry.backoff_until;
-                entry.is_usable()
+                entry.is_open(now)
                     && idle
                     && entry.detector.may_return(now)
                     && !request.tried.contains(key)
@@ -186,7 +186,7 @@
     ) -> Option<ServerKey> {
         let mut best: Option<(f64, ServerKey)> = None;
         for (key, entry) in &self.servers {
-            let free = entry.is_usable() && entry.load() < entry.server.slots;
+            let free = entry.is_open(now) && entry.load() < entry.server.slots;
             if !free
                 || now < entry.backoff_until
                 || !eligible(entry)
@@ -254,6 +254,7 @@
     pub(super) fn assign(&mut self, key: ServerKey, now: Moment) -> Box<Assignment> {
         let entry = &mut self.servers[key];
         entry.own_running += 1;
+        entry.limit.take(now);
         let trial = entry.detector.is_suspect();
         if trial {
             entry.detector.set_in_trial(true);
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -14,7 +14,8 @@
 use crate::FailureDetector;
 use crate::Options;
 use crate::RetryBudget;
-use crate::limit::KnownLimit;
+use crate::limit::Division;
+use crate::limit::ServerLimit;
 
 /// Failure rate that is assumed before any send: nothing is known of any server.
 const INITIAL_FAILURE_RATE: f64 = 0.15;
@@ -51,6 +52,7 @@
             decayed_at: Moment::ZERO,
             top_priority: u8::MAX,
             retry_budget,
+            division: Division::default(),
         }
     }
 
@@ -78,7 +80,7 @@
             if entry.server.address != listed.server.address {
                 entry.detector = FailureDetector::default();
                 entry.misdirected = false;
-                entry.limit = KnownLimit::default();
+                entry.limit = ServerLimit::default();
             }
             entry.server = listed.server.clone();
             return;
@@ -94,7 +96,7 @@
             backoff_until: Moment::ZERO,
             warm_at: now + listed.warmup,
             misdirected: false,
-            limit: KnownLimit::default(),
+            limit: ServerLimit::default(),
         });
         self.keys.insert(listed.server.name.clone(), key);
     }
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -7,6 +7,7 @@
 use super::Balancer;
 use super::RefusalCause;
 use super::Released;
+use super::ServerEntry;
 use super::WaitKey;
 use super::Waiter;
 
@@ -19,6 +20,9 @@
     /// served in time.
     pub fn release_queued(&mut self, now: Moment) -> Vec<Released> {
         let mut released = self.expire(now);
+        if !self.servers.values().any(|entry| entry.is_open(now)) {
+            return released;
+        }
         let mut keys: Vec<(QueueOrder, WaitKey)> = self
             .queue
             .iter()
@@ -45,11 +49,19 @@
         (late, request.priority, request.arrived)
     }
 
+    /// Takes out requests that can no longer be served in time, or not by this instance: other
+    /// instances have come to hold the limits of all servers.
     fn expire(&mut self, now: Moment) -> Vec<Released> {
+        let is_listed = self.servers.values().any(ServerEntry::is_usable);
+        let cause = if is_listed && self.capacity() <= 0.0 {
+            RefusalCause::NoRoom
+        } else {
+            RefusalCause::Deadline
+        };
         let late = |waiter: &Waiter| {
             let request = &waiter.request;
             let half = self.typical_duration(&request.route, request.target_latency) / 2;
-            now + half > request.deadline
+            cause == RefusalCause::NoRoom || now + half > request.deadline
         };
         let keys: Vec<WaitKey> = self
             .queue
@@ -60,7 +72,7 @@
         keys.into_iter()
             .map(|key| {
                 self.queue.remove(key);
-                let result = Err(Self::refusal(RefusalCause::Deadline, Duration::ZERO));
+                let result = Err(Self::refusal(cause, Duration::ZERO));
                 Released { key, result }
             })
             .collect()
--- a/crates/wb-balance/src/limit.rs
+++ b/crates/wb-balance/src/limit/mod.rs
@@ -1,9 +1,23 @@
 //! Request rates to which backend servers limit the fleet.
 //!
 //! A server names the rate that it takes from all instances together in the responses that it
-//! sends while the limit holds. Responses to concurrent requests arrive in any order, and other
-//! instances report what they have seen with a delay, so an observation that allows more than is
-//! known has to be newer than what it replaces; one that allows less takes effect at once.
+//! sends while the limit holds. The homes divide the rate among them, without asking each other for
+//! single requests.
+//!
+//! - [`known`]: the limit of a server, from observations that arrive in any order.
+//! - [`division`]: the part of the limit that an instance may use.
+//! - [`pacer`]: when it may send the next request.
+//! - [`server`]: the three together, for one server.
+
+pub mod division;
+pub mod known;
+pub mod pacer;
+pub mod server;
+
+pub use division::Division;
+pub use known::KnownLimit;
+pub use pacer::Pacer;
+pub use server::ServerLimit;
 
 use wb_types::id::Moment;
 
@@ -50,40 +64,3 @@
     let rate: Rate = text.parse().ok()?;
     (rate.is_finite() && rate >= 0.0).then_some(rate)
 }
-
-/// The limit of one server, as one instance knows it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct KnownLimit {
-    rate: Option<Rate>,
-    /// An observation that allows more must be of a request that was sent after this.
-    since: Option<Moment>,
-}
-
-impl KnownLimit {
-    /// The limit; `None` if the server has named none or has lifted it.
-    pub fn rate(&self) -> Option<Rate> {
-        self.rate
-    }
-
-    /// Takes an observation into account. Returns whether the limit changed.
-    pub fn observe(&mut self, observation: Observation) -> bool {
-        let allowed = |rate: Option<Rate>| rate.unwrap_or(Rate::INFINITY);
-        let relaxes = allowed(observation.limit) > allowed(self.rate);
-        let made_after = if relaxes {
-            observation.sent
-        } else {
-            observation.seen
-        };
-        if self.since.is_some_and(|since| made_after < since) {
-            return false;
-        }
-        let changed = observation.limit != self.rate;
-        self.rate = observation.limit;
-        let since = match observation.limit {
-            Some(_) => observation.seen,
-            None => observation.sent,
-        };
-        self.since = self.since.max(Some(since));
-        changed
-    }
-}
--- a/crates/wb-gateway/src/peers/heartbeat.rs
+++ b/crates/wb-gateway/src/peers/heartbeat.rs
@@ -12,6 +12,7 @@
 
 use super::Packet;
 use super::packet::Heartbeat;
+use super::packet::LimitReport;
 use super::packet::RequestCounts;
 use crate::Context;
 use crate::context::State;
@@ -25,6 +26,11 @@
 /// Every sixteenth message has all counts, the others only changed ones. A lost datagram thus
 /// leaves the receivers with wrong counts for at most a second.
 const FULL_EVERY: u32 = 16;
+/// Interval between reports of servers' limits to homes that hold no part of them. A limit that has
+/// not changed is not urgent.
+const LIMITS_INTERVAL: Duration = Duration::from_secs(10);
+/// Most limits in one datagram.
+const LIMITS_MAX: usize = 16;
 /// CPU cores that the homes need for each slot of the backend servers: a thousandth of a core
 /// carries one request a second, and a slot takes two requests a second.
 const CORES_PER_SLOT: f32 = 0.0015;
@@ -69,6 +75,7 @@
         .set_required_cores(slots as f32 * CORES_PER_SLOT);
     crate::follow::servers::expire(context, &mut state);
     decay_evidence(&mut state, now);
+    expire_limits(&mut state, now);
     update_homes(context, &mut state);
     if state.steering.is_candidate() && !context.is_leaving() {
         let packet = heartbeat(context, &state, false);
@@ -103,6 +110,50 @@
     }
 }
 
+/// Forgets limits of servers that nobody has confirmed for long.
+fn expire_limits(state: &mut State, now: Moment) {
+    for (name, service) in &mut state.services {
+        let expired = service.balancer.expire_limits(now);
+        for change in &expired {
+            line!(
+                Event::ServerLimit,
+                service = name,
+                server = change.server,
+                before = change.before,
+                source = "expired"
+            );
+        }
+        if !expired.is_empty() {
+            service.release_queued(now);
+        }
+    }
+}
+
+/// Reports the servers' limits of which this instance holds a part to the homes that hold none and
+/// thus can't observe them, until the daemon ends.
+pub async fn send_limits(context: Arc<Context>) {
+    loop {
+        tokio::time::sleep(LIMITS_INTERVAL).await;
+        let now = context.now();
+        let state = context.state();
+        let from = &state.steering.own_card().name;
+        for (name, service) in &state.services {
+            let limits = service.balancer.reported_limits();
+            let reports = limits
+                .iter()
+                .map(|(server, observation)| LimitReport::new(server, *observation, now));
+            let reports: Vec<LimitReport> = reports.collect();
+            for chunk in reports.chunks(LIMITS_MAX) {
+                let packet = Packet::ServerLimits {
+                    from: from.clone(),
+                    limits: HashMap::from([(name.clone(), chunk.to_vec())]),
+                };
+                context.send_packet(packet, state.steering.home_peers());
+            }
+        }
+    }
+}
+
 /// Recomputes the homes. If they change, drops what the former ones reported, logs the change and
 /// updates this instance's share.
 pub fn update_homes(context: &Context, state: &mut State) {
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -8,10 +8,13 @@
 use serde::Serialize;
 use wb_balance::Evidence;
 use wb_balance::idle::ResetCause;
+use wb_balance::limit::Observation;
+use wb_balance::limit::Rate;
 use wb_members::listing::ListVersion;
 use wb_members::listing::Update;
 use wb_members::steering::Card;
 use wb_types::id::InstanceName;
+use wb_types::id::Moment;
 use wb_types::id::ServerName;
 use wb_types::id::ServiceName;
 use wb_types::id::TableVersion;
@@ -63,6 +66,48 @@
         /// Cause of the reset.
         cause: ResetCause,
     },
+    /// Limits that backend servers name on the requests of all instances together.
+    ServerLimits {
+        /// Sender.
+        from: InstanceName,
+        /// The limits.
+        limits: HashMap<ServiceName, Vec<LimitReport>>,
+    },
+}
+
+/// What a response says about the limit of its server, as another instance reports it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// The server.
+    pub server: ServerName,
+    /// The limit, in requests per second; `None` if it was lifted.
+    pub limit: Option<Rate>,
+    /// Time since the request was sent.
+    pub sent_age: Duration,
+    /// Time since the response arrived.
+    pub seen_age: Duration,
+}
+
+impl LimitReport {
+    /// The report on an observation at the time `now`.
+    pub fn new(server: &ServerName, observation: Observation, now: Moment) -> Self {
+        Self {
+            server: server.clone(),
+            limit: observation.limit,
+            sent_age: now.saturating_sub(observation.sent),
+            seen_age: now.saturating_sub(observation.seen),
+        }
+    }
+
+    /// The observation by the receiver's clock. It seems later than it was by the time of the
+    /// transfer.
+    pub fn observation(&self, now: Moment) -> Observation {
+        Observation {
+            limit: self.limit,
+            sent: now.saturating_sub(self.sent_age),
+            seen: now.saturating_sub(self.seen_age),
+        }
+    }
 }
 
 /// Content of a heartbeat.
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -14,6 +14,7 @@
 use super::Packet;
 use super::heartbeat;
 use super::packet::Heartbeat;
+use super::packet::LimitReport;
 use super::packet::RequestCounts;
 use crate::Context;
 use crate::follow;
@@ -35,6 +36,7 @@
             evidence,
         } => handle_evidence(context, &from, &service, &server, evidence),
         Packet::Servers(update) => handle_servers(context, update),
+        Packet::ServerLimits { from, limits } => handle_limits(context, &from, &limits),
         Packet::Leaving { from } => {
             let mut state = context.state();
             state.steering.mark_left(&from);
@@ -132,6 +134,36 @@
     known.release_queued(now);
 }
 
+fn handle_limits(
+    context: &Context,
+    from: &InstanceName,
+    limits: &HashMap<ServiceName, Vec<LimitReport>>,
+) {
+    let now = context.now();
+    let mut state = context.state();
+    for (name, reports) in limits {
+        let Some(service) = state.services.get_mut(name) else {
+            continue;
+        };
+        for report in reports {
+            let observation = report.observation(now);
+            let balancer = &mut service.balancer;
+            let Some(change) = balancer.observe_peer_limit(&report.server, observation, now) else {
+                continue;
+            };
+            line!(
+                Event::ServerLimit,
+                service = name,
+                server = change.server,
+                limit = change.limit,
+                before = change.before,
+                from = from
+            );
+        }
+        service.release_queued(now);
+    }
+}
+
 fn handle_servers(context: &Context, update: Update) {
     let now = context.now();
     let mut state = context.state();
--- a/crates/wb-gateway/src/proxy/limit.rs
+++ b/crates/wb-gateway/src/proxy/limit.rs
@@ -1,5 +1,7 @@
 //! Limits that backend servers name in their responses.
 
+use std::collections::HashMap;
+
 use http::HeaderMap;
 use wb_balance::ServerKey;
 use wb_balance::limit;
@@ -11,6 +13,8 @@
 use super::routed::RoutedRequest;
 use super::routed::header_text;
 use crate::Context;
+use crate::peers::Packet;
+use crate::peers::packet::LimitReport;
 
 /// Records what a response to a request that was sent at `sent` says about the limit of its server.
 /// Changes are logged.
@@ -64,4 +68,13 @@
         before = change.before,
         request = routed.id
     );
+    service.release_queued(observation.seen);
+    if change.is_news {
+        let report = LimitReport::new(&change.server, observation, observation.seen);
+        let packet = Packet::ServerLimits {
+            from: context.settings.card.name.clone(),
+            limits: HashMap::from([(routed.service.clone(), vec![report])]),
+        };
+        context.send_packet(packet, state.steering.peer_addresses());
+    }
 }
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -13,6 +13,7 @@
 use wb_balance::Refusal;
 use wb_balance::RetryBudget;
 use wb_balance::WaitKey;
+use wb_balance::limit::Division;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
 use wb_types::id::ServiceName;
@@ -132,6 +133,8 @@
             lists.insert(name.clone(), Vec::new());
         }
         let share = self.share();
+        let own = self.steering.own_card().name.clone();
+        let division = Division::new(own, self.steering.homes().to_vec());
         for entry in self.listing.entries().values() {
             let mut server = entry.server.clone();
             server.max_connections = self.connection_limit(&server, share);
@@ -142,6 +145,7 @@
         for (name, list) in lists {
             let service = self.service(&name, context);
             service.balancer.update(&list, now);
+            service.balancer.set_division(division.clone(), now);
             service.set_share(share, &context.settings.bounds);
             service.release_queued(now);
         }
--- a/crates/wb-members/src/placement/homes.rs
+++ b/crates/wb-members/src/placement/homes.rs
@@ -2,10 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use wb_types::rendezvous::weight;
 use wb_types::roster::Instance;
 
-use super::hash::weight;
-
 /// The homes of a service: the `count` instances of highest weight in each failure domain.
 pub fn homes(service: &str, live: &[Instance], count: usize) -> Vec<Instance> {
     let mut domains: BTreeMap<&str, Vec<&Instance>> = BTreeMap::new();
--- a/crates/wb-members/src/placement/mod.rs
+++ b/crates/wb-members/src/placement/mod.rs
@@ -5,12 +5,10 @@
 //! that few of them move when instances join or leave. A server is owned by a home of its own
 //! failure domain if there is one, so that the loss of a domain moves no owners in the others.
 
-mod hash;
 mod homes;
 mod owners;
 mod successors;
 
-pub(crate) use hash::weight;
 pub use homes::homes;
 pub use owners::Owner;
 pub use owners::owners;
--- a/crates/wb-members/src/placement/owners.rs
+++ b/crates/wb-members/src/placement/owners.rs
@@ -2,11 +2,10 @@
 
 use wb_types::id::InstanceName;
 use wb_types::id::ServerName;
+use wb_types::rendezvous::weight;
 use wb_types::roster::Instance;
 use wb_types::roster::Server;
 
-use super::hash::weight;
-
 /// The owner of a server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Owner {
--- a/crates/wb-members/src/placement/successors.rs
+++ b/crates/wb-members/src/placement/successors.rs
@@ -1,9 +1,8 @@
 //! Successors of an instance that leaves.
 
+use wb_types::rendezvous::weight;
 use wb_types::roster::Instance;
 
-use super::hash::weight;
-
 /// Instances that may take over what a leaving instance holds, in order of preference.
 pub fn successors(leaving: &str, live: &[Instance], count: usize) -> Vec<Instance> {
     let mut others: Vec<&Instance> = live
--- a/crates/wb-members/src/steering/rank.rs
+++ b/crates/wb-members/src/steering/rank.rs
@@ -5,9 +5,9 @@
 
 use wb_types::id::DomainName;
 use wb_types::id::InstanceName;
+use wb_types::rendezvous::weight;
 
 use super::Card;
-use crate::placement::weight;
 
 /// Subject of the rendezvous hash.
 const SUBJECT: &str = "homes";
--- a/crates/wb-types/src/lib.rs
+++ b/crates/wb-types/src/lib.rs
@@ -5,11 +5,13 @@
 //! - [`roster`]: instances and backend servers as the platform lists them.
 //! - [`outcome`]: what the fleet answers when no backend server does.
 //! - [`member`]: gossip messages between instances.
+//! - [`rendezvous`]: rendezvous hashing.
 //! - [`request`]: a request in the queues, and outcomes of attempts.
 
 pub mod id;
 pub mod member;
 pub mod outcome;
 pub mod policy;
+pub mod rendezvous;
 pub mod request;
 pub mod roster;
