fix: requests that a new limit leaves no room for are refused at once

Callers whose requests were queued when a server named a limit waited until shortly before their deadline for a slot that could not come. The queue is now checked against the reduced capacity when a limit is named or lowered, or when this instance loses its part of all limits; what can't be served in time is refused with the time until there is room.

--- a/crates/wb-balance/src/balancer/limits.rs
+++ b/crates/wb-balance/src/balancer/limits.rs
@@ -26,6 +26,8 @@
             let server = &entry.server.name;
             entry.limit.divide(server, &self.division, now);
         }
+        let is_listed = self.servers.values().any(ServerEntry::is_usable);
+        self.limits_reduced |= is_listed && self.capacity() <= 0.0;
     }
 
     /// Records what a response says about the limit of its server. Returns the change, if there is
@@ -38,6 +40,7 @@
         let entry = self.servers.get_mut(key)?;
         let mut change = entry.observe_limit(observation, &self.division, observation.seen)?;
         change.is_news = entry.limit.take_news();
+        self.limits_reduced |= change.is_reduction();
         Some(change)
     }
 
@@ -54,6 +57,7 @@
         let change = entry.observe_limit(observation, &self.division, now);
         // The reporter has told all other instances as well.
         entry.limit.take_news();
+        self.limits_reduced |= change.as_ref().is_some_and(LimitChange::is_reduction);
         change
     }
 
@@ -77,6 +81,13 @@
     }
 }
 
+impl LimitChange {
+    fn is_reduction(&self) -> bool {
+        let allowed = |rate: Option<Rate>| rate.unwrap_or(Rate::INFINITY);
+        allowed(self.limit) < allowed(self.before)
+    }
+}
+
 impl ServerEntry {
     fn observe_limit(
         &mut self,
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -231,4 +231,6 @@
     retry_budget: RetryBudget,
     /// How servers' limits are divided among the instances.
     division: Division,
+    /// Whether limits have reduced what this instance may send since the queue was last checked.
+    limits_reduced: bool,
 }
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -123,12 +123,9 @@
         if let Some(key) = key {
             return Decision::Send(self.assign(key, now));
         }
-        let average = self.typical_duration(&request.route, request.target_latency);
-        let room = request.deadline.saturating_sub(now);
-        let late = match self.estimate_wait(ahead + 1) {
-            Some(wait) => wait.saturating_add(average).saturating_sub(room),
+        let Some(late) = self.lateness(&request, ahead, now) else {
             // Other instances hold the limits of all servers, and may serve the request at once.
-            None => return self.refuse_unserved(RETRY_AFTER_MIN),
+            return self.refuse_unserved(RETRY_AFTER_MIN);
         };
         if self.queue.len() >= self.options.queue_max || !late.is_zero() {
             if let Some(key) = self.returning(&request, now) {
@@ -142,6 +139,20 @@
         }))
     }
 
+    /// Estimated time by which a request that waits behind `ahead` others would miss its deadline.
+    /// `None` if this instance may send no requests.
+    pub(super) fn lateness(
+        &self,
+        request: &RequestInfo,
+        ahead: usize,
+        now: Moment,
+    ) -> Option<Duration> {
+        let wait = self.estimate_wait(ahead + 1)?;
+        let average = self.typical_duration(&request.route, request.target_latency);
+        let room = request.deadline.saturating_sub(now);
+        Some(wait.saturating_add(average).saturating_sub(room))
+    }
+
     fn refuse_unserved(&mut self, retry_after: Duration) -> Decision {
         self.unserved_rate += (1.0 - self.unserved_rate) * UNSERVED_ALPHA;
         Self::refuse(RefusalCause::NoRoom, retry_after)
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -53,6 +53,7 @@
             top_priority: u8::MAX,
             retry_budget,
             division: Division::default(),
+            limits_reduced: false,
         }
     }
 
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -7,7 +7,6 @@
 use super::Balancer;
 use super::RefusalCause;
 use super::Released;
-use super::ServerEntry;
 use super::WaitKey;
 use super::Waiter;
 
@@ -20,16 +19,11 @@
     /// served in time.
     pub fn release_queued(&mut self, now: Moment) -> Vec<Released> {
         let mut released = self.expire(now);
+        released.extend(self.refuse_excess(now));
         if !self.servers.values().any(|entry| entry.is_open(now)) {
             return released;
         }
-        let mut keys: Vec<(QueueOrder, WaitKey)> = self
-            .queue
-            .iter()
-            .map(|(key, waiter)| (self.queue_order(waiter, now), key))
-            .collect();
-        keys.sort();
-        for (_, key) in keys {
+        for key in self.queued_in_order(now) {
             let waiter = &self.queue[key];
             let allow_suspect = self.may_use_suspect(&waiter.request, waiter.since, now);
             let Some(server) = self.pick(&waiter.request, allow_suspect, now) else {
@@ -42,6 +36,15 @@
         released
     }
 
+    fn queued_in_order(&self, now: Moment) -> Vec<WaitKey> {
+        let queue = self.queue.iter();
+        let mut keys: Vec<(QueueOrder, WaitKey)> = queue
+            .map(|(key, waiter)| (self.queue_order(waiter, now), key))
+            .collect();
+        keys.sort();
+        keys.into_iter().map(|(_, key)| key).collect()
+    }
+
     fn queue_order(&self, waiter: &Waiter, now: Moment) -> QueueOrder {
         let request = &waiter.request;
         let typical = self.typical_duration(&request.route, request.target_latency);
@@ -49,19 +52,35 @@
         (late, request.priority, request.arrived)
     }
 
-    /// Takes out requests that can no longer be served in time, or not by this instance: other
-    /// instances have come to hold the limits of all servers.
+    /// Takes out requests that would wait beyond their deadline, since limits of servers have
+    /// reduced what this instance may send.
+    fn refuse_excess(&mut self, now: Moment) -> Vec<Released> {
+        if !std::mem::take(&mut self.limits_reduced) {
+            return Vec::new();
+        }
+        let mut kept = 0;
+        let mut released = Vec::new();
+        for key in self.queued_in_order(now) {
+            let late = self.lateness(&self.queue[key].request, kept, now);
+            if late.is_some_and(|late| late.is_zero()) {
+                kept += 1;
+                continue;
+            }
+            self.queue.remove(key);
+            let result = Err(Self::refusal(
+                RefusalCause::NoRoom,
+                late.unwrap_or_default(),
+            ));
+            released.push(Released { key, result });
+        }
+        released
+    }
+
     fn expire(&mut self, now: Moment) -> Vec<Released> {
-        let is_listed = self.servers.values().any(ServerEntry::is_usable);
-        let cause = if is_listed && self.capacity() <= 0.0 {
-            RefusalCause::NoRoom
-        } else {
-            RefusalCause::Deadline
-        };
         let late = |waiter: &Waiter| {
             let request = &waiter.request;
             let half = self.typical_duration(&request.route, request.target_latency) / 2;
-            cause == RefusalCause::NoRoom || now + half > request.deadline
+            now + half > request.deadline
         };
         let keys: Vec<WaitKey> = self
             .queue
@@ -72,7 +91,7 @@
         keys.into_iter()
             .map(|key| {
                 self.queue.remove(key);
-                let result = Err(Self::refusal(cause, Duration::ZERO));
+                let result = Err(Self::refusal(RefusalCause::Deadline, Duration::ZERO));
                 Released { key, result }
             })
             .collect()
