feat: the era of the platform's store is seen in logs and metrics

A store that came back from an older copy could not be told from one that compacted its history: both end polls with 410. E506 now says when an answer names another era, with the versions held then, and platform_era shows it. The stand-in of the store keeps backups, goes back to one, gives versions out again and names its era in all answers.

--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -83,6 +83,8 @@
     PlatformUp = 504,
     /// A version of the routes is in force.
     RoutesApplied = 505,
+    /// The platform's store is in another era: it came back from an older copy.
+    PlatformRestored = 506,
     /// The outcome of a ticket's request was settled.
     TicketSettled = 601,
     /// Tickets were moved from a leaving instance to another.
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -22,6 +22,7 @@
 use crate::peers::Packet;
 use crate::platform::Catalog;
 use crate::platform::DirectoryApi;
+use crate::platform::Era;
 use crate::platform::Headers;
 use crate::service::Service;
 use crate::settings::Settings;
@@ -33,6 +34,8 @@
     /// Version of the platform's table up to which the routes were read; 0 if they have to be read
     /// anew.
     pub read_version: u64,
+    /// Era of the platform's last response; `None` before the first.
+    pub era: Option<Era>,
     /// Peer address of an instance that has announced newer routes.
     pub newer_peer: Option<SocketAddr>,
     /// When the routes were last confirmed as the newest.
@@ -100,6 +103,7 @@
         let state = State {
             routes: None,
             read_version: 0,
+            era: None,
             newer_peer: None,
             routes_confirmed: Moment::ZERO,
             listing: Listing::default(),
--- a/crates/wb-gateway/src/follow/mod.rs
+++ b/crates/wb-gateway/src/follow/mod.rs
@@ -59,9 +59,31 @@
             context.routes_wakeup.notify_one();
         }
         self.down = failed;
+        observe_era(context, self.call);
     }
 }
 
+/// Notes the era of the platform's last response, and logs when it is another one.
+fn observe_era(context: &Context, call: &'static str) {
+    let Some(era) = context.catalog.era() else {
+        return;
+    };
+    let mut state = context.state();
+    let before = state.era.replace(era);
+    if before == Some(era) {
+        return;
+    }
+    context.metrics.platform_era.set(era as i64);
+    line!(
+        Event::PlatformRestored,
+        era = era,
+        before = before,
+        call = call,
+        routes = state.routes.as_ref().map(|routes| routes.version),
+        servers = state.listing.read_version()
+    );
+}
+
 /// Exponential backoff between failed calls, with jitter so that instances don't call at the same
 /// moment.
 pub struct Backoff {
--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -60,6 +60,8 @@
     pub limited_servers: Gauge,
     /// Calls to the platform.
     pub platform_calls: Family<CallLabels, Counter>,
+    /// Era of the platform's store.
+    pub platform_era: Gauge,
     /// Requests in progress.
     pub requests_active: Gauge,
     /// Version of the routes in use.
@@ -101,6 +103,7 @@
             limited_attempts: Family::default(),
             limited_servers: Gauge::default(),
             platform_calls: Family::default(),
+            platform_era: Gauge::default(),
             requests_active: Gauge::default(),
             routes_version: Gauge::default(),
             listing_age: Gauge::default(),
@@ -147,6 +150,11 @@
             "Calls to the platform",
             self.platform_calls.clone(),
         );
+        registry.register(
+            "platform_era",
+            "Times that the platform's store came back from an older copy",
+            self.platform_era.clone(),
+        );
         registry.register(
             "requests_active",
             "Requests in progress",
--- a/crates/wb-gateway/src/platform.rs
+++ b/crates/wb-gateway/src/platform.rs
@@ -69,8 +69,13 @@
     pub errors: Vec<RowError>,
 }
 
+/// Number by which the platform's store counts how often it came back from an older copy of itself.
+pub type Era = u64;
+
 /// Tables of the platform that the daemon uses.
 pub trait Catalog: Send + Sync {
+    /// Highest era that any response has named; `None` before the first.
+    fn era(&self) -> Option<Era>;
     /// Reads the newest routes.
     fn routes(&self) -> BoxFuture<'_, Result<Routes, Error>>;
     /// Waits up to `wait` for routes that are newer than `after`.
--- a/crates/wb-http/src/client.rs
+++ b/crates/wb-http/src/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -38,6 +39,8 @@
 pub struct BufferedResponse {
     /// Status code.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -132,10 +135,14 @@
             crate::SendError::NotSent { reason, .. } => CallError::NotSent(reason),
             crate::SendError::NoResponse { reason, .. } => CallError::NoResponse(reason),
         })?;
-        let status = response.status();
-        let body = body::read(response.into_body(), RESPONSE_MAX, self.timeout)
+        let (head, body) = response.into_parts();
+        let body = body::read(body, RESPONSE_MAX, self.timeout)
             .await
             .map_err(|err| CallError::NoResponse(err.to_string()))?;
-        Ok(BufferedResponse { status, body })
+        Ok(BufferedResponse {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
     }
 }
--- a/crates/wb-stand/src/published/store.rs
+++ b/crates/wb-stand/src/published/store.rs
@@ -22,6 +22,8 @@
 
 use crate::reply;
 
+/// Header with the era of the store, which rises with each restored backup.
+const ERA: &str = "store-era";
 /// Number of changes that are kept for feeds.
 const HISTORY_MAX: usize = 2000;
 
@@ -50,8 +52,17 @@
     version: u64,
 }
 
+/// A state of the store, to which it can be restored.
+#[derive(Clone)]
+pub struct Backup {
+    version: u64,
+    rows: BTreeMap<RowId, Row>,
+}
+
 #[derive(Default)]
 struct Inner {
+    /// Number of times that a backup was restored.
+    restores: u64,
     version: u64,
     rows: BTreeMap<RowId, Row>,
     /// Changes in order, each with its version, table and row.
@@ -113,6 +124,26 @@
         inner.history.clear();
     }
 
+    /// Returns the present state.
+    pub fn backup(&self) -> Backup {
+        let inner = self.lock();
+        Backup {
+            version: inner.version,
+            rows: inner.rows.clone(),
+        }
+    }
+
+    /// Goes back to an earlier state. What was written since is gone, and its versions are given out
+    /// again.
+    pub fn restore(&self, backup: Backup) {
+        let mut inner = self.lock();
+        inner.restores += 1;
+        inner.version = backup.version;
+        inner.compacted = backup.version;
+        inner.rows = backup.rows;
+        inner.history.clear();
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
         self.inner.lock().expect("lock is not poisoned")
     }
@@ -184,7 +215,7 @@
     /// Returns the response of a feed; `None` if there are no changes and the wait is not over.
     fn changes(&self, table: &str, after: u64, wait_over: bool) -> Option<Response<Body>> {
         let inner = self.lock();
-        if after < inner.compacted {
+        if after < inner.compacted || after > inner.version {
             return Some(reply::empty_response(StatusCode::GONE));
         }
         let changes = inner.history.iter();
@@ -231,6 +262,13 @@
     }
 
     async fn respond(&self, request: Request<RequestBody>) -> Response<Body> {
+        let mut response = self.handle_call(request).await;
+        let era = self.lock().restores + 1;
+        response.headers_mut().insert(ERA, era.into());
+        response
+    }
+
+    async fn handle_call(&self, request: Request<RequestBody>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         let query = parse_query(request.uri().query().unwrap_or_default());
         let mode = {
