test: what goes wrong when the platform's store comes back older

On the stand-in: resume points of the lost history are used in the new one, servers that are leaving or have left are used again, one that the copy lacks is dropped, list versions don't rise, own rows stay lost, and a new instance takes older routes than its peers have in force.

--- a/crates/wb-stand/src/published/fixtures.rs
+++ b/crates/wb-stand/src/published/fixtures.rs
@@ -2,6 +2,8 @@
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use serde_json::Value;
 use serde_json::json;
@@ -65,12 +67,16 @@
     })
 }
 
+/// Number of server rows so far: each has a higher count of writes than those before.
+static SERVER_ROWS: AtomicU64 = AtomicU64::new(1);
+
 /// Returns the row that a server publishes about itself.
 pub fn server_row(address: SocketAddr, service: &str, zone: &str, state: &str) -> Value {
+    let seq_no = SERVER_ROWS.fetch_add(1, Ordering::Relaxed);
     json!({
         "address": address.to_string(),
         "info": {"service": service, "version": "v1", "zone": zone, "slots": 6},
-        "status": {"state": state, "seq_no": 1, "warmup_left_ms": 0},
+        "status": {"state": state, "seq_no": seq_no, "warmup_left_ms": 0},
         "born": 1_700_000_000_000_u64,
     })
 }
--- a/crates/wb-stand/src/published/store.rs
+++ b/crates/wb-stand/src/published/store.rs
@@ -89,9 +89,11 @@
 }
 
 impl Store {
-    /// Sets how the store responds.
+    /// Sets how the store responds. Feeds that wait are ended if it becomes unavailable.
     pub fn set_mode(&self, mode: Mode) {
-        self.lock().mode = mode;
+        let mut inner = self.lock();
+        inner.mode = mode;
+        self.changed.send_replace(inner.version);
     }
 
     /// Returns the number of calls so far, by path.
@@ -203,6 +205,9 @@
         let mut changed = self.changed.subscribe();
         let end = tokio::time::Instant::now() + wait;
         loop {
+            if self.lock().mode == Mode::Unavailable {
+                return reply::empty_response(StatusCode::SERVICE_UNAVAILABLE);
+            }
             if let Some(response) = self.changes(&table, after, tokio::time::Instant::now() >= end)
             {
                 return response;
