fix: versions of a restored store are newer than all of the lost history

Callers could be served by routes that were replaced long ago, or sent to a server that was leaving: an instance that resumed its poll at a version of the lost history, after the store had given that version out again, got no 410 and missed all that had been written below it.

Cause: versions were compared across two histories of the store, as they came: resume points, the list versions in heartbeats and updates, the version up to which routes were read. Class: a counter taken for a total order although its source may go back.

An instance that sees a new era reads the routes at once, and homes tell all others; the homes that follow the list send its difference to the others, so that not all of them read it.

--- a/crates/wb-gateway/src/follow/mod.rs
+++ b/crates/wb-gateway/src/follow/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::Context;
 use crate::metrics::CallLabels;
+use crate::peers::Packet;
 use crate::platform::Error;
 use crate::platform::RowError;
 
@@ -63,7 +64,9 @@
     }
 }
 
-/// Notes the era of the platform's last response, and logs when it is another one.
+/// Notes the era of the platform's last response. In another one than before, this instance reads
+/// the routes at once, since a long poll waits for versions of the lost history, and tells others to
+/// do the same.
 fn observe_era(context: &Context, call: &'static str) {
     let Some(era) = context.catalog.era() else {
         return;
@@ -82,6 +85,14 @@
         routes = state.routes.as_ref().map(|routes| routes.version),
         servers = state.listing.read_version()
     );
+    if before.is_none() {
+        return;
+    }
+    context.routes_wakeup.notify_one();
+    if state.steering.is_home() {
+        let packet = Packet::PlatformEra { era };
+        context.send_packet(packet, state.steering.peer_addresses());
+    }
 }
 
 /// Exponential backoff between failed calls, with jitter so that instances don't call at the same
--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -5,6 +5,7 @@
 
 use wb_event::Event;
 use wb_event::line;
+use wb_members::listing::ListVersion;
 use wb_members::listing::RowChange;
 use wb_members::listing::Update;
 use wb_types::roster::Lifecycle;
@@ -99,26 +100,31 @@
     let now = context.now();
     let mut state = context.state();
     state.listing.record_success(now);
-    let is_first = state.listing.read_version().is_none();
+    let after = state.listing.content_version();
     let changes = state
         .listing
         .replace(servers.read_version, servers.rows, now);
     state.listing_confirmed = now;
-    self::apply_changes(context, &mut state, &changes, "platform");
-    if is_first {
-        // The replies have the limits of the servers, which were unknown when the peers were found.
-        let heartbeat = heartbeat::heartbeat(context, &state, true);
-        context.send_packet(heartbeat, state.steering.home_peers());
+    match after {
+        Some(after) => broadcast(context, &state, after, &changes),
+        None => request_limits(context, &state),
     }
+    self::apply_changes(context, &mut state, &changes, "platform");
     Ok(())
 }
 
+/// Asks the homes for the limits of the servers, which were unknown when the homes were found.
+fn request_limits(context: &Context, state: &State) {
+    let heartbeat = heartbeat::heartbeat(context, state, true);
+    context.send_packet(heartbeat, state.steering.home_peers());
+}
+
 fn accept(context: &Context, servers: Servers) {
     log_errors(&servers.errors);
     let now = context.now();
     let mut state = context.state();
     state.listing.record_success(now);
-    let after = state.listing.content_version();
+    let after = state.listing.content_version().unwrap_or(0);
     let changes = state.listing.apply(servers.read_version, servers.rows, now);
     state.listing_confirmed = now;
     broadcast(context, &state, after, &changes);
@@ -126,17 +132,22 @@
 }
 
 /// Broadcasts what changed after a version, if this instance is one of those that follow the list.
-fn broadcast(context: &Context, state: &State, after: Option<u64>, changes: &[RowChange]) {
-    if !is_watcher(state) || changes.is_empty() {
+/// Without changes, the others learn that their list is that of a newer version.
+fn broadcast(context: &Context, state: &State, after: ListVersion, changes: &[RowChange]) {
+    let upto = state.listing.content_version().unwrap_or(0);
+    if !is_watcher(state) || (changes.is_empty() && after == upto) {
         return;
     }
     let to = state.steering.peer_addresses();
-    let chunks = changes.chunks(CHANGES_MAX);
+    let mut chunks: Vec<&[RowChange]> = changes.chunks(CHANGES_MAX).collect();
+    if chunks.is_empty() {
+        chunks.push(&[]);
+    }
     let parts = chunks.len() as u32;
     for (part, chunk) in (0..).zip(chunks) {
         let update = Update {
-            after: after.unwrap_or(0),
-            upto: state.listing.content_version().unwrap_or(0),
+            after,
+            upto,
             part,
             parts,
             changes: chunk.to_vec(),
@@ -147,7 +158,7 @@
 
 /// Drops entries of servers whose rows the platform has lost and that have not written them again.
 pub fn expire(context: &Context, state: &mut State) {
-    let after = state.listing.content_version();
+    let after = state.listing.content_version().unwrap_or(0);
     let changes = state.listing.expire(context.now());
     broadcast(context, state, after, &changes);
     self::apply_changes(context, state, &changes, "lapse");
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -19,6 +19,8 @@
 use wb_types::id::ServiceName;
 use wb_types::id::TableVersion;
 
+use crate::platform::Era;
+
 /// Largest datagram, in bytes: fits into one network packet, so that it isn't fragmented.
 pub const DATAGRAM_MAX: usize = 1400;
 
@@ -73,6 +75,11 @@
         /// The limits.
         limits: HashMap<ServiceName, Vec<LimitReport>>,
     },
+    /// The platform's store has come back from an older copy.
+    PlatformEra {
+        /// Its era since then.
+        era: Era,
+    },
 }
 
 /// What a response says about the limit of its server, as another instance reports it.
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -44,6 +44,12 @@
             line!(Event::Member, member = from, liveness = "left");
             heartbeat::update_homes(context, &mut state);
         }
+        Packet::PlatformEra { era } => {
+            // The era counts only once the platform itself has answered in it.
+            if context.state().era < Some(era) {
+                context.routes_wakeup.notify_one();
+            }
+        }
         Packet::StaleConnection { service, cause } => {
             let mut state = context.state();
             if let Some(service) = state.services.get_mut(&service) {
--- a/crates/wb-members/src/listing.rs
+++ b/crates/wb-members/src/listing.rs
@@ -26,7 +26,7 @@
 /// used because a failure may show only long after the platform is back.
 const OUTAGE_WINDOW: Duration = Duration::from_secs(3);
 
-/// Version of the platform's rows.
+/// Version of the platform's rows. It never goes back, even if the platform does.
 pub type ListVersion = u64;
 
 /// One entry of the list.
