fix: rows of an older copy don't bring back servers that are leaving or have left

Callers could be sent to servers that were leaving, or gone: a restored store has their last rows from before, and the list was replaced by them. Class: the time of reading taken for the time of writing.

Change: a server numbers its own rows since its start; the list keeps that order. When the whole list is read, rows that are older than what is known of a server change nothing, and the last row of a server that has left is remembered for a minute. Changes that follow a read are newer by the store's own order and are taken as before, so that a server whose clock went back is listed again.

--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -177,7 +177,7 @@
 fn handle_servers(context: &Context, update: Update) {
     let now = context.now();
     let mut state = context.state();
-    if let Some(changes) = state.listing.apply_update(update) {
+    if let Some(changes) = state.listing.apply_update(update, now) {
         state.listing_confirmed = now;
         follow::servers::apply_changes(context, &mut state, &changes, "peer");
     }
--- a/crates/wb-members/src/listing.rs
+++ b/crates/wb-members/src/listing.rs
@@ -20,6 +20,9 @@
 /// Time after the end of an outage in which servers register again: two seconds by the platform's
 /// documentation, plus some for the transfer.
 const REREGISTER_TIME: Duration = Duration::from_millis(2300);
+/// Time for which the last entry of a server that has left is remembered: longer than the platform
+/// goes back, and than it keeps the row of a server that is gone.
+const DEPARTED_KEEP: Duration = Duration::from_secs(60);
 /// Longest time for which a lapsed entry is kept while the platform stays unavailable.
 const LAPSE_MAX: Duration = Duration::from_secs(20);
 /// Time after the start of a failed call in which a removed entry counts as lapsed. The start is
@@ -39,6 +42,15 @@
     pub warmup: Duration,
     /// Start of its process, in milliseconds since the Unix epoch; 0 if unknown.
     pub started: u64,
+    /// Number of the entry among those that the process has written.
+    pub serial: u64,
+}
+
+impl Entry {
+    /// Order of the entries that a server has written, whatever the platform did to them.
+    fn order(&self) -> (u64, u64) {
+        (self.started, self.serial)
+    }
 }
 
 /// A row that was written or removed.
@@ -76,6 +88,13 @@
     version: ListVersion,
 }
 
+/// Last entry of a server that has left.
+#[derive(Clone, Debug)]
+struct Departure {
+    entry: Entry,
+    at: Moment,
+}
+
 /// Received parts of an update.
 #[derive(Clone, Debug, Default)]
 struct ReceivedParts {
@@ -93,6 +112,7 @@
     content_version: ListVersion,
     entries: BTreeMap<ServerName, Entry>,
     lapses: BTreeMap<ServerName, Lapse>,
+    departed: BTreeMap<ServerName, Departure>,
     last_failure: Option<Moment>,
     received: ReceivedParts,
 }
@@ -129,7 +149,9 @@
         }
     }
 
-    /// Replaces the list by all rows of the platform. Returns the changes.
+    /// Replaces the list by all rows of the platform. Rows that are older than what is known of
+    /// their servers come from an older copy of the platform, and change nothing. Returns the
+    /// changes.
     pub fn replace(
         &mut self,
         read_version: ListVersion,
@@ -146,7 +168,7 @@
             })
             .collect();
         let newest = rows.iter().map(|row| row.version).max();
-        changes.extend(rows);
+        changes.extend(rows.into_iter().filter(|row| !self.is_outdated(row)));
         self.read_version = Some(read_version);
         let changed = self.apply_rows(changes, now);
         self.content_version = self.content_version.max(newest.unwrap_or(0));
@@ -167,7 +189,7 @@
 
     /// Applies changes that another instance sent. Returns those that changed the list, or `None`
     /// if changes before them are missing.
-    pub fn apply_update(&mut self, update: Update) -> Option<Vec<RowChange>> {
+    pub fn apply_update(&mut self, update: Update, now: Moment) -> Option<Vec<RowChange>> {
         self.read_version?;
         if update.after > self.content_version {
             return None;
@@ -178,7 +200,7 @@
         let mut changed = Vec::new();
         for change in update.changes {
             self.lapses.remove(&change.name);
-            if self.upsert(&change) {
+            if self.upsert(&change, now) {
                 changed.push(change);
             }
         }
@@ -210,7 +232,7 @@
                 continue;
             }
             self.lapses.remove(&change.name);
-            if self.upsert(&change) {
+            if self.upsert(&change, now) {
                 self.content_version = self.content_version.max(change.version);
                 changed.push(change);
             }
@@ -218,21 +240,47 @@
         changed
     }
 
+    /// Whether the server has written a newer entry than this row's, or has left after it.
+    fn is_outdated(&self, row: &RowChange) -> bool {
+        let departed = self.departed.get(&row.name);
+        let departed = departed.map(|departure| &departure.entry);
+        let Some(entry) = &row.entry else {
+            return false;
+        };
+        let listed = self.entries.get(&row.name);
+        listed.is_some_and(|known| entry.order() < known.order())
+            || departed.is_some_and(|known| entry.order() <= known.order())
+    }
+
+    /// Removes a server. Returns whether it was listed.
+    fn remove(&mut self, name: &ServerName, now: Moment) -> bool {
+        let Some(entry) = self.entries.remove(name) else {
+            return false;
+        };
+        let departure = Departure { entry, at: now };
+        self.departed.insert(name.clone(), departure);
+        true
+    }
+
     fn is_live(&self, name: &str) -> bool {
         let entry = self.entries.get(name);
         entry.is_some_and(|entry| entry.server.lifecycle == Lifecycle::Live)
     }
 
-    fn upsert(&mut self, change: &RowChange) -> bool {
+    fn upsert(&mut self, change: &RowChange, now: Moment) -> bool {
         let Some(entry) = &change.entry else {
-            return self.entries.remove(&change.name).is_some();
+            return self.remove(&change.name, now);
         };
+        self.departed.remove(&change.name);
         let old = self.entries.insert(change.name.clone(), entry.clone());
         old.is_none_or(|old| old.server != entry.server || old.started != entry.started)
     }
 
-    /// Drops lapsed entries whose servers did not register again in time. Returns the changes.
+    /// Drops lapsed entries whose servers did not register again in time, and what is remembered of
+    /// servers that left long ago. Returns the changes.
     pub fn expire(&mut self, now: Moment) -> Vec<RowChange> {
+        self.departed
+            .retain(|_, departure| now.saturating_sub(departure.at) < DEPARTED_KEEP);
         let expired = self.lapses.iter().filter(|(_, lapse)| now >= lapse.until);
         let expired: Vec<RowChange> = expired
             .map(|(name, lapse)| RowChange {
@@ -243,7 +291,7 @@
             .collect();
         for change in &expired {
             self.lapses.remove(&change.name);
-            self.entries.remove(&change.name);
+            self.remove(&change.name, now);
             self.content_version = self.content_version.max(change.version);
         }
         expired
--- a/crates/wb-members/tests/listing.rs
+++ b/crates/wb-members/tests/listing.rs
@@ -32,6 +32,7 @@
         },
         warmup: Duration::ZERO,
         started: 1,
+        serial: 1,
     }
 }
 
@@ -160,7 +161,7 @@
     let mut listing = listing(&["s1"]);
     assert!(
         listing
-            .apply_update(update(11, 12, vec![removed(12, "s1")]))
+            .apply_update(update(11, 12, vec![removed(12, "s1")]), at(0))
             .is_none()
     );
     assert!(holds(&listing, "s1"));
@@ -171,7 +172,7 @@
 fn old_update_is_ignored() {
     let mut listing = listing(&["s1"]);
     listing.apply(15, vec![removed(15, "s1")], at(100));
-    listing.apply_update(update(10, 12, vec![row(12, "s1")]));
+    listing.apply_update(update(10, 12, vec![row(12, "s1")]), at(0));
     assert!(!holds(&listing, "s1"));
 }
 
@@ -183,7 +184,11 @@
     let after = sender.content_version().expect("it has a list");
     let changes = sender.apply(44, vec![removed(43, "s1")], at(200));
     let upto = sender.content_version().expect("it has a list");
-    assert!(other.apply_update(update(after, upto, changes)).is_some());
+    assert!(
+        other
+            .apply_update(update(after, upto, changes), at(0))
+            .is_some()
+    );
     assert!(!holds(&other, "s1"));
     assert_eq!(other.content_version(), sender.content_version());
 }
@@ -196,13 +201,72 @@
         parts: 2,
         ..update(10, 12, vec![removed(12, name)])
     };
-    listing.apply_update(part(1, "s2"));
+    listing.apply_update(part(1, "s2"), at(0));
     assert_eq!(
         listing.content_version(),
         Some(10),
         "the first part is missing"
     );
-    listing.apply_update(part(0, "s1"));
+    listing.apply_update(part(0, "s1"), at(0));
     assert_eq!(listing.content_version(), Some(12));
     assert!(!holds(&listing, "s1") && !holds(&listing, "s2"));
 }
+
+/// A row that is the server's `serial`th.
+fn numbered(version: u64, name: &str, serial: u64, lifecycle: Lifecycle) -> RowChange {
+    let mut row = row(version, name);
+    if let Some(entry) = &mut row.entry {
+        entry.serial = serial;
+        entry.server.lifecycle = lifecycle;
+    }
+    row
+}
+
+fn lifecycle(listing: &Listing, name: &str) -> Option<Lifecycle> {
+    let entry = listing.entries().get(name);
+    entry.map(|entry| entry.server.lifecycle)
+}
+
+#[test]
+fn older_row_of_a_copy_does_not_take_back_that_a_server_is_leaving() {
+    let mut listing = listing(&["s"]);
+    listing.apply(12, vec![numbered(12, "s", 5, Lifecycle::Leaving)], at(10));
+    let changes = listing.replace(20, vec![numbered(18, "s", 4, Lifecycle::Live)], at(20));
+    assert!(changes.is_empty());
+    assert_eq!(lifecycle(&listing, "s"), Some(Lifecycle::Leaving));
+    listing.apply(22, vec![numbered(22, "s", 6, Lifecycle::Live)], at(30));
+    assert_eq!(lifecycle(&listing, "s"), Some(Lifecycle::Live));
+}
+
+#[test]
+fn server_that_has_left_does_not_come_back_with_its_last_row() {
+    let mut listing = listing(&["s"]);
+    listing.apply(12, vec![removed(12, "s")], at(10));
+    listing.replace(20, vec![numbered(18, "s", 1, Lifecycle::Live)], at(20));
+    assert!(!holds(&listing, "s"));
+    listing.replace(30, vec![numbered(25, "s", 2, Lifecycle::Live)], at(30));
+    assert!(holds(&listing, "s"));
+}
+
+#[test]
+fn server_that_left_long_ago_is_listed_by_any_row() {
+    let mut listing = listing(&["s"]);
+    listing.apply(12, vec![removed(12, "s")], at(10));
+    listing.expire(at(70_000));
+    listing.replace(20, vec![numbered(18, "s", 1, Lifecycle::Live)], at(70_000));
+    assert!(holds(&listing, "s"));
+}
+
+#[test]
+fn restarted_server_is_listed_whatever_its_count() {
+    let mut listing = listing(&["s"]);
+    listing.apply(12, vec![numbered(12, "s", 50, Lifecycle::Leaving)], at(10));
+    let mut restarted = numbered(20, "s", 1, Lifecycle::Live);
+    restarted
+        .entry
+        .as_mut()
+        .expect("the row names a server")
+        .started = 2;
+    listing.replace(20, vec![restarted], at(20));
+    assert_eq!(lifecycle(&listing, "s"), Some(Lifecycle::Live));
+}
