fix: servers that a restored store does not know yet stay in use

A server that registered after the copy was made was dropped from the list at once, and its service lost its capacity, though it writes its row again within two seconds. Entries that vanish were kept only if a call of this instance had failed shortly before. A new era now counts like an outage: live servers that the copy lacks are kept until they had time to register.

--- a/crates/wb-gateway/src/follow/mod.rs
+++ b/crates/wb-gateway/src/follow/mod.rs
@@ -66,7 +66,7 @@
 
 /// Notes the era of the platform's last response. In another one than before, this instance reads
 /// the routes at once, since a long poll waits for versions of the lost history, and tells others to
-/// do the same.
+/// do the same; servers may have to write their rows again. Called before the response is applied.
 fn observe_era(context: &Context, call: &'static str) {
     let Some(era) = context.catalog.era() else {
         return;
@@ -88,6 +88,8 @@
     if before.is_none() {
         return;
     }
+    let now = context.now();
+    state.listing.record_failure(now, now);
     context.routes_wakeup.notify_one();
     if state.steering.is_home() {
         let packet = Packet::PlatformEra { era };
--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -13,6 +13,7 @@
 use super::Backoff;
 use super::CallMonitor;
 use super::log_errors;
+use super::observe_era;
 use crate::Context;
 use crate::context::State;
 use crate::peers::Packet;
@@ -78,6 +79,7 @@
         return read_all(context).await;
     };
     let changes = context.catalog.watch_servers(version, POLL_TIMEOUT).await?;
+    observe_era(context, "servers");
     accept(context, changes);
     Ok(())
 }
@@ -96,6 +98,7 @@
 
 async fn read_all(context: &Context) -> Result<(), Error> {
     let servers = context.catalog.servers().await?;
+    observe_era(context, "servers");
     log_errors(&servers.errors);
     let now = context.now();
     let mut state = context.state();
