fix: instances register again after the store has lost rows

Instances that had registered since the copy was made were unknown to those that started later: these chose other homes, and steered callers to them. Each instance wrote its row once, at its start.

--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -70,6 +70,8 @@
     pub outbox: tokio::sync::mpsc::Sender<(Packet, Vec<SocketAddr>)>,
     /// Wakes the task that follows the routes ahead of its schedule.
     pub routes_wakeup: Notify,
+    /// Wakes the task that registers this instance.
+    pub rejoin: Notify,
     /// Wakes the task that admits queued requests.
     pub queue_wakeup: Notify,
     state: Mutex<State>,
@@ -121,6 +123,7 @@
             metrics: Metrics::new(),
             outbox: parts.outbox,
             routes_wakeup: Notify::new(),
+            rejoin: Notify::new(),
             queue_wakeup: Notify::new(),
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
--- a/crates/wb-gateway/src/follow/mod.rs
+++ b/crates/wb-gateway/src/follow/mod.rs
@@ -64,9 +64,10 @@
     }
 }
 
-/// Notes the era of the platform's last response. In another one than before, this instance reads
-/// the routes at once, since a long poll waits for versions of the lost history, and tells others to
-/// do the same; servers may have to write their rows again. Called before the response is applied.
+/// Notes the era of the platform's last response. In another one than before, rows have been lost:
+/// this instance reads the routes at once, since a long poll waits for versions of the lost history,
+/// and registers again, homes tell the others, and servers get time to write their rows. Called
+/// before the response is applied.
 fn observe_era(context: &Context, call: &'static str) {
     let Some(era) = context.catalog.era() else {
         return;
@@ -91,6 +92,7 @@
     let now = context.now();
     state.listing.record_failure(now, now);
     context.routes_wakeup.notify_one();
+    context.rejoin.notify_one();
     if state.steering.is_home() {
         let packet = Packet::PlatformEra { era };
         context.send_packet(packet, state.steering.peer_addresses());
--- a/crates/wb-gateway/src/start.rs
+++ b/crates/wb-gateway/src/start.rs
@@ -97,7 +97,7 @@
         }
         let handler = Arc::new(ProxyHandler(context.clone()));
         let caller_listener = spawn_listener(&context, listen.callers, handler, stopped).await?;
-        tokio::spawn(follow::members::join(context.clone()));
+        tokio::spawn(follow::members::run(context.clone()));
         tokio::spawn(follow::routes::run(context.clone()));
         tokio::spawn(follow::servers::run(context.clone()));
         tokio::spawn(peers::heartbeat::run(context.clone()));
