fix: a new instance takes routes from its peers when the store has lost them

An instance that started after a restore served by the copy's routes, while all others had the confirmed ones in force: callers got 404 on routes that had been added, until the operator wrote them again. Peers' announcement of newer routes made it read the store again, and it asked no peer as long as the store answered in time. It now does where the store's routes are older than the announced ones.

--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -17,6 +17,7 @@
 use wb_route::RouteTable;
 use wb_types::id::Moment;
 use wb_types::id::ServiceName;
+use wb_types::id::TableVersion;
 
 use crate::metrics::Metrics;
 use crate::peers::Packet;
@@ -36,8 +37,8 @@
     pub read_version: u64,
     /// Era of the platform's last response; `None` before the first.
     pub era: Option<Era>,
-    /// Peer address of an instance that has announced newer routes.
-    pub newer_peer: Option<SocketAddr>,
+    /// Peer address of an instance that has announced newer routes, and their version.
+    pub newer_peer: Option<(SocketAddr, TableVersion)>,
     /// When the routes were last confirmed as the newest.
     pub routes_confirmed: Moment,
     /// Server list.
--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -73,12 +73,18 @@
 }
 
 /// Reads the newest routes from the platform. If it is slow or fails, which may concern this
-/// instance alone, also reads them from the instance that has announced newer ones.
+/// instance alone, or has lost the newest ones, also reads them from the instance that has announced
+/// newer ones.
 async fn fetch_newest(context: &Context) -> Result<Routes, Error> {
     let call = context.catalog.routes();
     tokio::pin!(call);
     match tokio::time::timeout(PEER_DELAY, &mut call).await {
-        Ok(Ok(routes)) => Ok(routes),
+        Ok(Ok(routes)) => {
+            if has_newer_peer(context, &routes) {
+                fetch_from_peers(context).await;
+            }
+            Ok(routes)
+        }
         Ok(failed) => {
             fetch_from_peers(context).await;
             failed
@@ -87,12 +93,19 @@
     }
 }
 
+/// Whether another instance has announced newer routes than these.
+fn has_newer_peer(context: &Context, routes: &Routes) -> bool {
+    let version = routes.table.as_ref().map_or(0, |table| table.version);
+    let announced = context.state().newer_peer;
+    announced.is_some_and(|(_, announced)| announced > version)
+}
+
 /// Reads the routes from the instance that has announced newer ones and from some homes in
 /// parallel, since the path to one of them may lose packets. Uses the first newer routes.
 async fn fetch_from_peers(context: &Context) {
     let addresses = {
         let mut state = context.state();
-        let Some(newer_peer) = state.newer_peer.take() else {
+        let Some((newer_peer, _)) = state.newer_peer.take() else {
             return;
         };
         let others = state.steering.home_peers();
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -84,7 +84,7 @@
     }
     let routes = state.routes.as_ref().map_or(0, |routes| routes.version);
     if heartbeat.routes_version > routes {
-        state.newer_peer = Some(peer);
+        state.newer_peer = Some((peer, heartbeat.routes_version));
         context.routes_wakeup.notify_one();
     }
     if state.listing.content_version() == Some(heartbeat.listing_version) {
