fix: routes rewritten under a version that was lost are taken

An instance that had routes of a version in force ignored others of the same version for good: after a restore the operator may give a version out again with other content, and callers got 404 on the new routes. Routes that the platform itself returns are taken if they differ, also at the same version; those of other instances only if their version is higher.

--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -126,8 +126,9 @@
     }
 }
 
-/// Applies routes read from the platform if they are newer than those in use. Returns whether they
-/// are.
+/// Applies routes read from the platform if they are newer than those in use, or other ones of the
+/// same version: a platform that has lost routes may be given others under their version. Returns
+/// whether they are applied.
 pub fn accept(context: &Context, routes: Routes, source: &'static str) -> bool {
     log_errors(&routes.errors);
     let now = context.now();
@@ -137,15 +138,29 @@
     let Some(table) = routes.table else {
         return false;
     };
+    let rewritten = state
+        .routes
+        .as_ref()
+        .is_some_and(|routes| routes.version == table.version && **routes != table);
+    if rewritten {
+        put_in_force(context, &mut state, table, source);
+        return true;
+    }
     apply(context, &mut state, table, source)
 }
 
 fn apply(context: &Context, state: &mut State, table: RouteTable, source: &'static str) -> bool {
-    let now = context.now();
     let before = state.routes.as_ref().map(|routes| routes.version);
     if before.is_some_and(|before| table.version <= before) {
         return false;
     }
+    put_in_force(context, state, table, source);
+    true
+}
+
+fn put_in_force(context: &Context, state: &mut State, table: RouteTable, source: &'static str) {
+    let now = context.now();
+    let before = state.routes.as_ref().map(|routes| routes.version);
     line!(
         Event::RoutesApplied,
         version = table.version,
@@ -160,7 +175,6 @@
         line!(Event::Ready, servers = state.listing.entries().len());
     }
     state.apply_listing(context, now);
-    true
 }
 
 /// Reads a snapshot from a home or a seed, while the platform does not answer.
