test: the soak restores the store and lets servers name limits

Two faults more: the store goes back to a backup and its rows are written again after a while, and a server names a limit from 0 to 10 requests a second. The soak checks in undisturbed windows that a server gets no more than one and a half times its limit and five requests in four seconds.

--- a/crates/wb-soak/src/check.rs
+++ b/crates/wb-soak/src/check.rs
@@ -13,6 +13,12 @@
 const LEAVING_GRACE: Duration = Duration::from_secs(2);
 /// Time after a fault in which the bound of `LEAVING_GRACE` is not checked.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Window in which the requests to a server with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Ratio of the requests that are allowed in a window to what the limit allows.
+const LIMIT_TOLERANCE: f64 = 1.5;
+/// Requests that are allowed in a window beyond that.
+const LIMIT_SLACK: f64 = 5.0;
 /// Time after the last fault from which requests must be served again.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 /// Share of the requests sent after `RECOVERY_TIME` that must be served.
@@ -67,6 +73,7 @@
         violations.extend(check_request(testbed, result));
     }
     violations.extend(check_leaving(testbed, faults));
+    violations.extend(check_limits(testbed, faults));
     violations.extend(check_recovery(results, faults_ended));
     let count = |accepts: fn(u16) -> bool| {
         let accepted = |result: &&CallerResult| result.status.is_some_and(accepts);
@@ -111,16 +118,9 @@
 
 /// Checks that a leaving server gets no new requests after `LEAVING_GRACE`, unless a fault was
 /// active between its announcement and the request, or less than `SETTLE_TIME` before the
-/// announcement. New configurations and servers that join or leave don't count as faults here.
+/// announcement.
 fn check_leaving(testbed: &Testbed, faults: &[Fault]) -> Vec<String> {
     let mut violations = Vec::new();
-    let undisturbed = |from: Instant, to: Instant| {
-        let disturbs = |fault: &&Fault| {
-            let harmful = !matches!(fault.name, "configure" | "server_joins" | "server_leaves");
-            harmful && fault.at < to && fault.until + SETTLE_TIME > from
-        };
-        !faults.iter().any(|fault| disturbs(&fault))
-    };
     let runs = testbed.ledger.all();
     for backend in &testbed.backends {
         let Some(leaving_since) = backend.leaving_since else {
@@ -130,7 +130,7 @@
             let late = runs.iter().find(|run| {
                 run.server == backend.server.id()
                     && run.started > leaving_since + LEAVING_GRACE
-                    && undisturbed(leaving_since, run.started)
+                    && is_undisturbed(faults, leaving_since, run.started)
             });
             if let Some(run) = late {
                 let after = run.started - leaving_since;
@@ -144,6 +144,55 @@
     violations
 }
 
+/// Whether no fault was active in a span of time or less than `SETTLE_TIME` before it. New
+/// configurations, limits and servers that join or leave don't count as faults here.
+fn is_undisturbed(faults: &[Fault], from: Instant, to: Instant) -> bool {
+    let disturbs = |fault: &Fault| {
+        let harmless = [
+            "configure",
+            "server_joins",
+            "server_leaves",
+            "server_limits",
+        ];
+        let harmful = !harmless.contains(&fault.name);
+        harmful && fault.at < to && fault.until + SETTLE_TIME > from
+    };
+    !faults.iter().any(disturbs)
+}
+
+/// Checks that a server with a limit gets no more in any window than that allows, from `SETTLE_TIME`
+/// after it named the limit, unless a fault was active in the window.
+fn check_limits(testbed: &Testbed, faults: &[Fault]) -> Vec<String> {
+    let mut violations = Vec::new();
+    for backend in &testbed.backends {
+        let arrivals = backend.server.arrivals();
+        for (index, (named, limit)) in backend.limits.iter().enumerate() {
+            let Some(limit) = limit else {
+                continue;
+            };
+            let changed = backend.limits.get(index + 1).map(|(at, _)| *at);
+            let in_force = arrivals.iter().filter(|at| {
+                **at >= *named + SETTLE_TIME && changed.is_none_or(|changed| **at < changed)
+            });
+            let in_force: Vec<Instant> = in_force.copied().collect();
+            let allowed = LIMIT_TOLERANCE * limit * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+            for start in &in_force {
+                let end = *start + LIMIT_WINDOW;
+                let within = in_force.iter().filter(|at| *at >= start && **at < end);
+                let count = within.count();
+                if count as f64 > allowed && is_undisturbed(faults, *start, end) {
+                    violations.push(format!(
+                        "server {} with a limit of {limit} a second got {count} requests in {LIMIT_WINDOW:?}",
+                        backend.server.id()
+                    ));
+                    break;
+                }
+            }
+        }
+    }
+    violations
+}
+
 /// Checks that requests are served again once all faults are over.
 fn check_recovery(results: &[CallerResult], faults_ended: Instant) -> Option<String> {
     let late: Vec<&CallerResult> = results
--- a/crates/wb-soak/src/faults.rs
+++ b/crates/wb-soak/src/faults.rs
@@ -44,12 +44,19 @@
     OpenStoreLink(usize),
     /// Makes the store answer normally again.
     RestoreStore,
+    /// Writes the configuration and the servers' rows again.
+    Rewrite,
+    /// Ends the limit of a backend server.
+    LiftLimit(usize),
     /// Nothing: the change is permanent.
     None,
 }
 
+/// Limits that servers name, in requests per second.
+const LIMITS: [f64; 5] = [0.0, 0.4, 1.0, 3.0, 10.0];
+
 /// Names of the faults to draw from.
-const FAULTS: [&str; 13] = [
+const FAULTS: [&str; 15] = [
     "kill",
     "stop",
     "terminate",
@@ -63,6 +70,8 @@
     "server_leaves",
     "server_joins",
     "configure",
+    "store_restored",
+    "server_limits",
 ];
 
 /// Injects random faults for `duration`, then ends them all and returns them.
@@ -83,6 +92,7 @@
         tokio::time::sleep(pause).await;
         repair_due(testbed, &mut active, Instant::now())?;
         let name = FAULTS.choose(rng).expect("there are faults");
+        testbed.back_up_store(rng);
         let until = Instant::now() + Duration::from_millis(rng.random_range(200..FAULT_MAX_MS));
         let repairs = inject(testbed, name, rng).await?;
         injected.push(Fault {
@@ -124,6 +134,8 @@
                 testbed.instances[index].store_link.set_link(Link::Open)
             }
             Repair::RestoreStore => testbed.store.set_mode(Mode::Normal),
+            Repair::Rewrite => testbed.rewrite(),
+            Repair::LiftLimit(index) => testbed.set_limit(index, None),
             Repair::None => {}
         }
     }
@@ -190,6 +202,15 @@
             testbed.add_backend(service).await?;
             Repair::None
         }
+        "store_restored" => {
+            testbed.restore_store();
+            Repair::Rewrite
+        }
+        "server_limits" => {
+            let limit = *LIMITS.choose(rng).expect("there are limits");
+            testbed.set_limit(backend, Some(limit));
+            Repair::LiftLimit(backend)
+        }
         _ => {
             testbed.write_config();
             Repair::None
--- a/crates/wb-soak/src/testbed.rs
+++ b/crates/wb-soak/src/testbed.rs
@@ -16,6 +16,8 @@
 use eyre::Context;
 use eyre::OptionExt;
 use eyre::bail;
+use rand::Rng;
+use rand::rngs::SmallRng;
 use rustix::process::Pid;
 use rustix::process::Signal;
 use tokio::net::TcpListener;
@@ -27,9 +29,12 @@
 use wb_stand::published::Store;
 use wb_stand::published::fixtures;
 use wb_stand::published::server::Behaviour;
+use wb_stand::published::store::Backup;
 use wb_stand::published::store::StoreHandler;
 use wb_stand::relay::Relay;
 
+/// Share of the faults before which the store is backed up.
+const BACKUP_SHARE: f64 = 0.2;
 /// Longest time until all instances are ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time that a healthy server takes for a request.
@@ -60,6 +65,8 @@
     pub link: Relay,
     /// When it announced that it leaves.
     pub leaving_since: Option<Instant>,
+    /// Limits that it has named, each with the time when it began to.
+    pub limits: Vec<(Instant, Option<f64>)>,
 }
 
 /// A gateway instance and its link to the store.
@@ -84,6 +91,8 @@
     pub backends: Vec<Backend>,
     /// Gateway instances.
     pub instances: Vec<Instance>,
+    /// State of the store from a while ago.
+    backup: Backup,
     /// Version of the configuration last written.
     pub version: u64,
     /// Second octet of all addresses. Taken from the process id, so that concurrent runs rarely
@@ -114,6 +123,7 @@
             stopped,
         ));
         let mut testbed = Self {
+            backup: store.backup(),
             store,
             ledger: Arc::default(),
             backends: Vec::new(),
@@ -128,15 +138,48 @@
             testbed.add_backend("registry").await?;
             testbed.add_backend("patterns").await?;
         }
+        testbed.backup = testbed.store.backup();
         for index in 0..testbed.options.instances {
             testbed.add_instance(index, address).await?;
         }
         Ok(testbed)
     }
 
+    /// Replaces the backup of the store now and then.
+    pub fn back_up_store(&mut self, rng: &mut SmallRng) {
+        if rng.random_bool(BACKUP_SHARE) {
+            self.backup = self.store.backup();
+        }
+    }
+
+    /// Takes the store back to the backup.
+    pub fn restore_store(&self) {
+        self.store.restore(self.backup.clone());
+    }
+
+    /// Writes the configuration and the rows of the backend servers again.
+    pub fn rewrite(&mut self) {
+        self.put_config();
+        for index in 0..self.backends.len() {
+            let leaving = self.backends[index].leaving_since.is_some();
+            self.write_server_row(index, if leaving { "draining" } else { "ready" });
+        }
+    }
+
+    /// Lets a backend server name a limit, or no longer name one.
+    pub fn set_limit(&mut self, index: usize, limit: Option<f64>) {
+        let backend = &mut self.backends[index];
+        backend.server.set_limit(limit);
+        backend.limits.push((Instant::now(), limit));
+    }
+
     /// Writes the next version of the configuration, with one more route than the last.
     pub fn write_config(&mut self) {
         self.version += 1;
+        self.put_config();
+    }
+
+    fn put_config(&self) {
         let config = fixtures::config(self.version, self.version as usize - 1);
         self.store
             .put("op", "config", config.to_string().as_bytes());
@@ -164,6 +207,7 @@
             address,
             link,
             leaving_since: None,
+            limits: Vec::new(),
         });
         self.write_server_row(index, "ready");
         Ok(())
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -178,6 +178,12 @@
         *self.behaviour.lock().expect("lock is not poisoned") = behaviour;
     }
 
+    /// Sets the limit that the server names, and nothing else.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        let mut behaviour = self.behaviour.lock().expect("lock is not poisoned");
+        behaviour.limit = limit;
+    }
+
     /// Returns when requests arrived, refused ones included.
     pub fn arrivals(&self) -> Vec<Instant> {
         let arrivals = self.arrivals.lock().expect("lock is not poisoned");
