fix: requests that newer ones overtake until their deadline are refused early

While limits leave room for a third of the requests, callers waited ten seconds for a refusal: requests that can still meet their latency target go first, so that those that have missed it are overtaken until their deadline.

An overload is taken to last as long again as it has lasted. A waiting request that has missed its target is refused once that reaches its deadline, and a new one that would miss its target in the queue is refused at once; both with the time until there is room. Requests of a short burst wait as before.

--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -30,6 +30,7 @@
 use crate::limit::Division;
 use crate::limit::Rate;
 use crate::limit::ServerLimit;
+use crate::overload::Overload;
 
 pub use offer::RETRY_AFTER_MIN;
 pub use update::ListedServer;
@@ -231,6 +232,7 @@
     retry_budget: RetryBudget,
     /// How servers' limits are divided among the instances.
     division: Division,
+    overload: Overload,
     /// Whether limits have reduced what this instance may send since the queue was last checked.
     limits_reduced: bool,
 }
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -125,13 +125,14 @@
         }
         let Some(late) = self.lateness(&request, ahead, now) else {
             // Other instances hold the limits of all servers, and may serve the request at once.
-            return self.refuse_unserved(RETRY_AFTER_MIN);
+            return self.refuse_unserved(RETRY_AFTER_MIN, now);
         };
-        if self.queue.len() >= self.options.queue_max || !late.is_zero() {
+        let room = self.queue.len() < self.options.queue_max && late.is_zero();
+        if !room || self.is_hopeless(&request, now) {
             if let Some(key) = self.returning(&request, now) {
                 return Decision::Send(self.assign(key, now));
             }
-            return self.refuse_unserved(late);
+            return self.refuse_unserved(late, now);
         }
         Decision::Wait(self.queue.insert(Waiter {
             request,
@@ -153,7 +154,18 @@
         Some(wait.saturating_add(average).saturating_sub(room))
     }
 
-    fn refuse_unserved(&mut self, retry_after: Duration) -> Decision {
+    /// Whether a new request would miss its latency target in the queue, and then be overtaken by
+    /// newer ones until its deadline.
+    fn is_hopeless(&self, request: &RequestInfo, now: Moment) -> bool {
+        let ahead = self.queue.values().filter(|waiter| {
+            waiter.request.priority <= request.priority && !self.is_late(&waiter.request, now)
+        });
+        let wait = self.estimate_wait(ahead.count() + 1).unwrap_or_default();
+        self.overload.lasts_until(request.deadline, now) && self.is_late(request, now + wait)
+    }
+
+    fn refuse_unserved(&mut self, retry_after: Duration, now: Moment) -> Decision {
+        self.overload.record(now);
         self.unserved_rate += (1.0 - self.unserved_rate) * UNSERVED_ALPHA;
         Self::refuse(RefusalCause::NoRoom, retry_after)
     }
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -16,6 +16,7 @@
 use crate::RetryBudget;
 use crate::limit::Division;
 use crate::limit::ServerLimit;
+use crate::overload::Overload;
 
 /// Failure rate that is assumed before any send: nothing is known of any server.
 const INITIAL_FAILURE_RATE: f64 = 0.15;
@@ -53,6 +54,7 @@
             top_priority: u8::MAX,
             retry_budget,
             division: Division::default(),
+            overload: Overload::default(),
             limits_reduced: false,
         }
     }
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -7,6 +7,7 @@
 use super::Balancer;
 use super::RefusalCause;
 use super::Released;
+use super::RequestInfo;
 use super::WaitKey;
 use super::Waiter;
 
@@ -20,10 +21,13 @@
     pub fn release_queued(&mut self, now: Moment) -> Vec<Released> {
         let mut released = self.expire(now);
         released.extend(self.refuse_excess(now));
-        if !self.servers.values().any(|entry| entry.is_open(now)) {
-            return released;
-        }
-        for key in self.queued_in_order(now) {
+        let is_open = self.servers.values().any(|entry| entry.is_open(now));
+        let queued = if is_open {
+            self.queued_in_order(now)
+        } else {
+            Vec::new()
+        };
+        for key in queued {
             let waiter = &self.queue[key];
             let allow_suspect = self.may_use_suspect(&waiter.request, waiter.since, now);
             let Some(server) = self.pick(&waiter.request, allow_suspect, now) else {
@@ -33,9 +37,43 @@
             let result = Ok(self.assign(server, now));
             released.push(Released { key, result });
         }
+        released.extend(self.refuse_hopeless(now));
         released
     }
 
+    /// Takes out requests that will be overtaken by newer ones until their deadline.
+    fn refuse_hopeless(&mut self, now: Moment) -> Vec<Released> {
+        let late: Vec<WaitKey> = self
+            .queue
+            .iter()
+            .filter(|(_, waiter)| self.is_late(&waiter.request, now))
+            .map(|(key, _)| key)
+            .collect();
+        if late.is_empty() {
+            return Vec::new();
+        }
+        self.overload.record(now);
+        let deadline = |key: &WaitKey| self.queue[*key].request.deadline;
+        let hopeless = |key: &WaitKey| self.overload.lasts_until(deadline(key), now);
+        let hopeless: Vec<WaitKey> = late.into_iter().filter(hopeless).collect();
+        let wait = self.estimate_wait(self.queue.len() - hopeless.len() + 1);
+        let refuse = |key| {
+            self.queue.remove(key);
+            let result = Err(Self::refusal(
+                RefusalCause::NoRoom,
+                wait.unwrap_or_default(),
+            ));
+            Released { key, result }
+        };
+        hopeless.into_iter().map(refuse).collect()
+    }
+
+    /// Whether a request would miss its latency target if it were sent now.
+    pub(super) fn is_late(&self, request: &RequestInfo, now: Moment) -> bool {
+        let typical = self.typical_duration(&request.route, request.target_latency);
+        now + typical > request.arrived + request.target_latency
+    }
+
     fn queued_in_order(&self, now: Moment) -> Vec<WaitKey> {
         let queue = self.queue.iter();
         let mut keys: Vec<(QueueOrder, WaitKey)> = queue
@@ -47,9 +85,11 @@
 
     fn queue_order(&self, waiter: &Waiter, now: Moment) -> QueueOrder {
         let request = &waiter.request;
-        let typical = self.typical_duration(&request.route, request.target_latency);
-        let late = now + typical > request.arrived + request.target_latency;
-        (late, request.priority, request.arrived)
+        (
+            self.is_late(request, now),
+            request.priority,
+            request.arrived,
+        )
     }
 
     /// Takes out requests that would wait beyond their deadline, since limits of servers have
--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`idle`]: how long a connection may have been idle and still be reused.
 //! - [`limit`]: request rates to which servers limit the fleet.
 //! - [`options`]: limits and cost weights, with their units.
+//! - [`overload`]: how long requests have come faster than they are served.
 //!
 //! All functions take the current time as an argument, so that tests run on virtual time.
 
@@ -16,6 +17,7 @@
 pub mod idle;
 pub mod limit;
 pub mod options;
+pub mod overload;
 pub mod retry;
 
 pub use balancer::Assignment;
