--- a/crates/wb-soak/src/testbed.rs
+++ b/crates/wb-soak/src/testbed.rs
@@ -10,6 +10,8 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,6 +35,10 @@
 use wb_stand::published::store::StoreHandler;
 use wb_stand::relay::Relay;
 
+/// Number of runs in this process so far.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+/// Distance between the addresses of two runs of a process.
+const RUN_STRIDE: u32 = 67;
 /// Share of the faults before which the store is backed up.
 const BACKUP_SHARE: f64 = 0.2;
 /// Longest time until all instances are ready.
@@ -95,8 +101,8 @@
     backup: Backup,
     /// Version of the configuration last written.
     pub version: u64,
-    /// Second octet of all addresses. Taken from the process id, so that concurrent runs rarely
-    /// share addresses.
+    /// Second octet of all addresses. Taken from the process id and the number of the run, so that
+    /// concurrent runs rarely share addresses.
     subnet: u8,
     /// Keeps the store's listener running until dropped.
     _shutdown: tokio::sync::watch::Sender<bool>,
@@ -110,7 +116,8 @@
     /// When a file can't be written, an address can't be bound or a process can't be started.
     pub async fn start(options: Options) -> eyre::Result<Self> {
         fs::create_dir_all(&options.out).wrap_err("failed to create the output folder")?;
-        let subnet = (std::process::id() % 200) as u8 + 20;
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let subnet = (std::process::id().wrapping_add(run * RUN_STRIDE) % 200) as u8 + 20;
         let store = Arc::new(Store::default());
         let (shutdown, stopped) = tokio::sync::watch::channel(false);
         let listener = TcpListener::bind((Ipv4Addr::new(127, subnet, 250, 1), 0)).await?;
