--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -127,12 +127,13 @@
             // Other instances hold the limits of all servers, and may serve the request at once.
             return self.refuse_unserved(RETRY_AFTER_MIN, now);
         };
-        let room = self.queue.len() < self.options.queue_max && late.is_zero();
-        if !room || self.is_hopeless(&request, now) {
+        let fits = self.queue.len() < self.options.queue_max && late.is_zero();
+        let hopeless = self.hopeless_wait(&request, now);
+        if !fits || hopeless.is_some() {
             if let Some(key) = self.returning(&request, now) {
                 return Decision::Send(self.assign(key, now));
             }
-            return self.refuse_unserved(late, now);
+            return self.refuse_unserved(late.max(hopeless.unwrap_or_default()), now);
         }
         Decision::Wait(self.queue.insert(Waiter {
             request,
@@ -154,14 +155,17 @@
         Some(wait.saturating_add(average).saturating_sub(room))
     }
 
-    /// Whether a new request would miss its latency target in the queue, and then be overtaken by
-    /// newer ones until its deadline.
-    fn is_hopeless(&self, request: &RequestInfo, now: Moment) -> bool {
+    /// Estimated wait of a new request that would miss its latency target in the queue, and then be
+    /// overtaken by newer ones until its deadline; `None` if it would not.
+    fn hopeless_wait(&self, request: &RequestInfo, now: Moment) -> Option<Duration> {
+        if !self.overload.lasts_until(request.deadline, now) {
+            return None;
+        }
         let ahead = self.queue.values().filter(|waiter| {
             waiter.request.priority <= request.priority && !self.is_late(&waiter.request, now)
         });
-        let wait = self.estimate_wait(ahead.count() + 1).unwrap_or_default();
-        self.overload.lasts_until(request.deadline, now) && self.is_late(request, now + wait)
+        let wait = self.estimate_wait(ahead.count() + 1)?;
+        self.is_late(request, now + wait).then_some(wait)
     }
 
     fn refuse_unserved(&mut self, retry_after: Duration, now: Moment) -> Decision {
--- a/crates/wb-gateway/src/peers/heartbeat.rs
+++ b/crates/wb-gateway/src/peers/heartbeat.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wb_balance::limit::Audience;
 use wb_event::Event;
 use wb_event::line;
 use wb_types::id::Moment;
@@ -12,8 +11,8 @@
 use wb_types::id::ServiceName;
 
 use super::Packet;
+use super::limits;
 use super::packet::Heartbeat;
-use super::packet::LimitReport;
 use super::packet::RequestCounts;
 use crate::Context;
 use crate::context::State;
@@ -27,11 +26,6 @@
 /// Every sixteenth message has all counts, the others only changed ones. A lost datagram thus
 /// leaves the receivers with wrong counts for at most a second.
 const FULL_EVERY: u32 = 16;
-/// Interval between reports of servers' limits to homes that hold no part of them. A limit that has
-/// not changed is not urgent.
-const LIMITS_INTERVAL: Duration = Duration::from_secs(10);
-/// Most limits in one datagram.
-const LIMITS_MAX: usize = 16;
 /// CPU cores that the homes need for each slot of the backend servers: a thousandth of a core
 /// carries one request a second, and a slot takes two requests a second.
 const CORES_PER_SLOT: f32 = 0.0015;
@@ -76,7 +70,7 @@
         .set_required_cores(slots as f32 * CORES_PER_SLOT);
     crate::follow::servers::expire(context, &mut state);
     decay_evidence(&mut state, now);
-    expire_limits(&mut state, now);
+    limits::expire(&mut state, now);
     update_homes(context, &mut state);
     if state.steering.is_candidate() && !context.is_leaving() {
         let packet = heartbeat(context, &state, false);
@@ -111,55 +105,6 @@
     }
 }
 
-/// Forgets limits of servers that nobody has confirmed for long.
-fn expire_limits(state: &mut State, now: Moment) {
-    for (name, service) in &mut state.services {
-        let expired = service.balancer.expire_limits(now);
-        for change in &expired {
-            line!(
-                Event::ServerLimit,
-                service = name,
-                server = change.server,
-                before = change.before,
-                source = "expired"
-            );
-        }
-        if !expired.is_empty() {
-            service.release_queued(now);
-        }
-    }
-}
-
-/// Builds reports of the servers' limits that this instance is the one to report to these others.
-pub fn limits(state: &State, to: Audience, now: Moment) -> Vec<Packet> {
-    let from = &state.steering.own_card().name;
-    let services = state.services.iter();
-    let packets = services.flat_map(|(name, service)| {
-        let limits = service.balancer.reported_limits(to).into_iter();
-        let reports: Vec<LimitReport> = limits
-            .map(|(server, observation)| LimitReport::new(&server, observation, now))
-            .collect();
-        let chunks = reports.chunks(LIMITS_MAX);
-        let packets = chunks.map(|chunk| Packet::ServerLimits {
-            from: from.clone(),
-            limits: HashMap::from([(name.clone(), chunk.to_vec())]),
-        });
-        packets.collect::<Vec<Packet>>()
-    });
-    packets.collect()
-}
-
-/// Reports servers' limits to the other homes from time to time, until the daemon ends.
-pub async fn send_limits(context: Arc<Context>) {
-    loop {
-        tokio::time::sleep(LIMITS_INTERVAL).await;
-        let state = context.state();
-        for packet in limits(&state, Audience::OtherHomes, context.now()) {
-            context.send_packet(packet, state.steering.home_peers());
-        }
-    }
-}
-
 /// Recomputes the homes. If they change, drops what the former ones reported, logs the change and
 /// updates this instance's share.
 pub fn update_homes(context: &Context, state: &mut State) {
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -14,6 +14,7 @@
 
 use super::Packet;
 use super::heartbeat;
+use super::limits;
 use super::packet::Heartbeat;
 use super::packet::LimitReport;
 use super::packet::RequestCounts;
@@ -78,7 +79,7 @@
     if heartbeat.wants_reply {
         let packet = heartbeat::heartbeat(context, &state, false);
         context.send_packet(packet, vec![peer]);
-        for packet in heartbeat::limits(&state, Audience::NewInstance, now) {
+        for packet in limits::reports(&state, Audience::NewInstance, now) {
             context.send_packet(packet, vec![peer]);
         }
     }
