fix: only overloads that are no bursts are expected to last

An overload of a second was expected to outlast requests that had half a second left, though a burst was ending, and those that waited would have been served. An overload counts as lasting only from five seconds on.

--- a/crates/wb-balance/src/overload.rs
+++ b/crates/wb-balance/src/overload.rs
@@ -4,6 +4,9 @@
 
 use wb_types::id::Moment;
 
+/// Shortest overload that is expected to go on. Shorter ones are mostly bursts, after which those that
+/// have waited are served.
+const LASTING_TIME: Duration = Duration::from_secs(5);
 /// Time without an unserved request after which an overload is over.
 const END_TIME: Duration = Duration::from_secs(1);
 
@@ -21,10 +24,11 @@
         self.span = Some((since, now));
     }
 
-    /// Whether the overload is expected to last until a deadline: as long again as it has lasted.
+    /// Whether the overload is expected to last until a deadline: as long again as it has lasted, if
+    /// it is no burst.
     pub fn lasts_until(&self, deadline: Moment, now: Moment) -> bool {
         let lasted = self.since(now).map(|since| now.saturating_sub(since));
-        lasted.is_some_and(|lasted| now + lasted >= deadline)
+        lasted.is_some_and(|lasted| lasted >= LASTING_TIME && now + lasted >= deadline)
     }
 
     fn since(&self, now: Moment) -> Option<Moment> {
