feat: the completeness of the server list is seen in logs and metrics

The logs could not tell a list that is read too late from one that counts as complete and is not. Now E309 has the version and digest of each list that changed and how long it had not been known to be complete, E310 says why changes may be missing (age, or an update after a gap), E201 has the age of the list (list_ms), the histogram listing_gap bounds how late changes were learnt, and a refusal of a server (E208) says whether it carries a request id. No decision changes.

--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -59,6 +59,10 @@
     ResetExplained = 307,
     /// A backend server named a limit on its requests, changed it or lifted it.
     ServerLimit = 308,
+    /// The list of backend servers has another version or content.
+    RosterVersion = 309,
+    /// This instance may have missed changes of the list of backend servers.
+    RosterStale = 310,
     /// A member's liveness changed.
     Member = 401,
     /// The homes or owners of a service changed.
--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -8,6 +8,7 @@
 use wb_members::listing::ListVersion;
 use wb_members::listing::RowChange;
 use wb_members::listing::Update;
+use wb_types::id::Moment;
 use wb_types::roster::Lifecycle;
 
 use super::Backoff;
@@ -64,8 +65,20 @@
 
 fn is_due(context: &Context) -> bool {
     let state = context.state();
-    let age = context.now().saturating_sub(state.listing_confirmed);
-    state.listing.read_version().is_none() || is_watcher(&state) || age > STALE_AGE
+    let age = state.listing_age(context.now());
+    if state.listing.read_version().is_none() || is_watcher(&state) {
+        return true;
+    }
+    if age <= STALE_AGE {
+        return false;
+    }
+    line!(
+        Event::RosterStale,
+        reason = "age",
+        version = state.listing.content_version(),
+        age_ms = age.as_millis() as u64
+    );
+    true
 }
 
 fn is_watcher(state: &State) -> bool {
@@ -107,12 +120,12 @@
     let changes = state
         .listing
         .replace(servers.read_version, servers.rows, now);
-    state.listing_confirmed = now;
     match after {
         Some(after) => broadcast(context, &state, after, &changes),
         None => request_limits(context, &state),
     }
     self::apply_changes(context, &mut state, &changes, "platform");
+    confirm(context, &mut state, now);
     Ok(())
 }
 
@@ -129,9 +142,9 @@
     state.listing.record_success(now);
     let after = state.listing.content_version().unwrap_or(0);
     let changes = state.listing.apply(servers.read_version, servers.rows, now);
-    state.listing_confirmed = now;
     broadcast(context, &state, after, &changes);
     self::apply_changes(context, &mut state, &changes, "platform");
+    confirm(context, &mut state, now);
 }
 
 /// Broadcasts what changed after a version, if this instance is one of those that follow the list.
@@ -167,6 +180,17 @@
     self::apply_changes(context, state, &changes, "lapse");
 }
 
+/// Records that the server list was complete at the time `seen`. The time between two such moments
+/// bounds how late the instance learns of a change.
+pub fn confirm(context: &Context, state: &mut State, seen: Moment) {
+    if seen <= state.listing_confirmed {
+        return;
+    }
+    let gap = seen - state.listing_confirmed;
+    context.metrics.listing_gap.observe(gap.as_secs_f64());
+    state.listing_confirmed = seen;
+}
+
 /// Logs changes of the server list and passes the list on to the services.
 pub fn apply_changes(
     context: &Context,
@@ -177,6 +201,16 @@
     if changes.is_empty() {
         return;
     }
+    line!(
+        Event::RosterVersion,
+        version = state.listing.content_version(),
+        digest = state.listing.digest(),
+        servers = state.listing.entries().len(),
+        lapsed = state.listing.lapsed_count(),
+        changes = changes.len(),
+        age_ms = state.listing_age(context.now()).as_millis() as u64,
+        source = source
+    );
     for change in changes {
         let entry = change.entry.as_ref();
         let kind = match entry {
--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -68,6 +68,9 @@
     pub routes_version: Gauge,
     /// Time since the server list was confirmed as complete, in milliseconds.
     pub listing_age: Gauge,
+    /// Time between two moments at which the server list was confirmed as complete: bounds how late
+    /// a change of a server was learnt.
+    pub listing_gap: Histogram,
     /// Time since the routes were confirmed as the newest, in milliseconds.
     pub routes_age: Gauge,
     /// Datagrams to other instances that were dropped because the outbox was full.
@@ -107,6 +110,7 @@
             requests_active: Gauge::default(),
             routes_version: Gauge::default(),
             listing_age: Gauge::default(),
+            listing_gap: latency_histogram(),
             routes_age: Gauge::default(),
             packets_dropped: Counter::default(),
             lines_dropped: Gauge::default(),
@@ -170,6 +174,12 @@
             "Time since the list of servers was confirmed",
             self.listing_age.clone(),
         );
+        registry.register_with_unit(
+            "listing_gap",
+            "Time between confirmations of the list of servers",
+            Unit::Seconds,
+            self.listing_gap.clone(),
+        );
         registry.register(
             "routes_age_milliseconds",
             "Time since the routes were confirmed",
--- a/crates/wb-gateway/src/peers/heartbeat.rs
+++ b/crates/wb-gateway/src/peers/heartbeat.rs
@@ -39,7 +39,7 @@
         wants_reply,
         routes_version: state.routes.as_ref().map_or(0, |routes| routes.version),
         listing_version: state.listing.content_version().unwrap_or(0),
-        listing_age: context.now().saturating_sub(state.listing_confirmed),
+        listing_age: state.listing_age(context.now()),
         candidates: if steering.is_home() {
             steering.candidates().to_vec()
         } else {
@@ -80,9 +80,10 @@
     let limited: usize = limited.map(|one| one.balancer.limited_count()).sum();
     let metrics = &context.metrics;
     metrics.limited_servers.set(limited as i64);
-    let age = |seen| now.saturating_sub(seen).as_millis() as i64;
-    metrics.listing_age.set(age(state.listing_confirmed));
-    metrics.routes_age.set(age(state.routes_confirmed));
+    let listing_age = state.listing_age(now);
+    metrics.listing_age.set(listing_age.as_millis() as i64);
+    let routes_age = now.saturating_sub(state.routes_confirmed);
+    metrics.routes_age.set(routes_age.as_millis() as i64);
     metrics.lines_dropped.set(wb_event::line::dropped() as i64);
 }
 
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -37,7 +37,7 @@
             server,
             evidence,
         } => handle_evidence(context, &from, &service, &server, evidence),
-        Packet::Servers(update) => handle_servers(context, update),
+        Packet::Servers(update) => handle_servers(context, update, peer),
         Packet::ServerLimits { from, limits } => handle_limits(context, &from, &limits),
         Packet::Leaving { from } => {
             let mut state = context.state();
@@ -90,7 +90,7 @@
     }
     if state.listing.content_version() == Some(heartbeat.listing_version) {
         let seen = now.saturating_sub(heartbeat.listing_age);
-        state.listing_confirmed = state.listing_confirmed.max(seen);
+        follow::servers::confirm(context, &mut state, seen);
     }
     heartbeat::update_homes(context, &mut state);
 }
@@ -175,11 +175,21 @@
     }
 }
 
-fn handle_servers(context: &Context, update: Update) {
+fn handle_servers(context: &Context, update: Update, peer: SocketAddr) {
     let now = context.now();
     let mut state = context.state();
-    if let Some(changes) = state.listing.apply_update(update, now) {
-        state.listing_confirmed = now;
-        follow::servers::apply_changes(context, &mut state, &changes, "peer");
-    }
+    let (after, upto) = (update.after, update.upto);
+    let Some(changes) = state.listing.apply_update(update, now) else {
+        line!(
+            Event::RosterStale,
+            reason = "gap",
+            version = state.listing.content_version(),
+            after = after,
+            upto = upto,
+            from = peer
+        );
+        return;
+    };
+    follow::servers::apply_changes(context, &mut state, &changes, "peer");
+    follow::servers::confirm(context, &mut state, now);
 }
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -279,8 +279,13 @@
 enum CheckedResponse {
     Buffered(Response<Bytes>),
     Streaming(PooledResponse, Bytes),
-    Shed,
-    Misdirected,
+    /// `echoed` tells whether the response carries a request id.
+    Shed {
+        echoed: bool,
+    },
+    Misdirected {
+        echoed: bool,
+    },
     Invalid(String),
 }
 
@@ -294,13 +299,17 @@
     let status = response.status();
     let echoed = header_text(response.headers(), &names.request_id);
     if status == StatusCode::MISDIRECTED_REQUEST {
-        return CheckedResponse::Misdirected;
+        return CheckedResponse::Misdirected {
+            echoed: echoed.is_some(),
+        };
     }
     if echoed.is_some_and(|echoed| echoed != routed.id) {
         return CheckedResponse::Invalid("response carries another request id".to_owned());
     }
     if response.headers().contains_key(&names.not_executed) {
-        return CheckedResponse::Shed;
+        return CheckedResponse::Shed {
+            echoed: echoed.is_some(),
+        };
     }
     let signed = response.headers().contains_key(&names.signature);
     if status.is_success() && (!signed || echoed.is_none()) {
@@ -377,18 +386,15 @@
             let streamed = StreamedBody::new(prefix, stream, slot, took, remaining);
             Outcome::Response(Response::from_parts(parts, body::boxed(streamed)))
         }
-        CheckedResponse::Shed => {
-            log_failure(routed, &slot, "shed", "the server shed the request");
+        CheckedResponse::Shed { echoed } => {
+            let error = format!("the server shed the request, id echoed: {echoed}");
+            log_failure(routed, &slot, "shed", &error);
             slot.release(AttemptOutcome::Shed);
             not_executed("shed")
         }
-        CheckedResponse::Misdirected => {
-            log_failure(
-                routed,
-                &slot,
-                "misdirected",
-                "another server uses the address",
-            );
+        CheckedResponse::Misdirected { echoed } => {
+            let error = format!("another server uses the address, id echoed: {echoed}");
+            log_failure(routed, &slot, "misdirected", &error);
             slot.release(AttemptOutcome::Misdirected);
             not_executed("misdirected")
         }
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -17,6 +17,7 @@
 use wb_event::Event;
 use wb_event::line;
 use wb_http::pool::SendOptions;
+use wb_types::id::Moment;
 
 use super::routed::RoutedRequest;
 use crate::Context;
@@ -121,7 +122,7 @@
             }))?
         }
     };
-    log_routed(routed, &assignment, kind, context.now().saturating_sub(now));
+    log_routed(context, routed, &assignment, kind, now);
     if assignment.limit.is_some() {
         let labels = ServiceLabels {
             service: routed.service.to_string(),
@@ -139,12 +140,16 @@
     })
 }
 
+/// Logs a slot for which the request has waited since `since`.
 fn log_routed(
+    context: &Context,
     routed: &RoutedRequest,
     assignment: &Assignment,
     kind: AttemptKind,
-    waited: Duration,
+    since: Moment,
 ) {
+    let now = context.now();
+    let listing_age = context.state().listing_age(now);
     line!(
         Event::Routed,
         request = routed.id,
@@ -155,8 +160,9 @@
         running = assignment.running,
         score = assignment.score,
         age_ms = assignment.since_success.map(|age| age.as_millis() as u64),
-        waited_ms = waited.as_millis() as u64,
+        waited_ms = now.saturating_sub(since).as_millis() as u64,
         limit = assignment.limit,
+        list_ms = listing_age.as_millis() as u64,
         routes = routed.routes_version
     );
 }
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 use wb_balance::Assignment;
@@ -151,6 +152,11 @@
         }
     }
 
+    /// Time since the server list was last confirmed as complete.
+    pub fn listing_age(&self, now: Moment) -> Duration {
+        now.saturating_sub(self.listing_confirmed)
+    }
+
     /// Share of the fleet's requests that this instance carries, between 0 and 1.
     pub fn share(&self) -> f64 {
         if !self.steering.is_home() {
--- a/crates/wb-members/src/listing.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -6,6 +6,8 @@
 //! Instances send each other the changes of the list. Each such update names the version that it
 //! follows, so that a lost update is noticed.
 
+mod digest;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -17,6 +19,8 @@
 use wb_types::roster::Lifecycle;
 use wb_types::roster::Server;
 
+use digest::Digest;
+
 /// Time after the end of an outage in which servers register again: two seconds by the platform's
 /// documentation, plus some for the transfer.
 const REREGISTER_TIME: Duration = Duration::from_millis(2300);
@@ -111,6 +115,7 @@
     /// same list.
     content_version: ListVersion,
     entries: BTreeMap<ServerName, Entry>,
+    digest: Digest,
     lapses: BTreeMap<ServerName, Lapse>,
     departed: BTreeMap<ServerName, Departure>,
     last_failure: Option<Moment>,
@@ -128,6 +133,16 @@
         self.read_version.map(|_| self.content_version)
     }
 
+    /// Digest of the entries: lists with the same version and different digests differ.
+    pub fn digest(&self) -> u64 {
+        self.digest.value()
+    }
+
+    /// Number of entries that the platform has removed and that are kept for now.
+    pub fn lapsed_count(&self) -> usize {
+        self.lapses.len()
+    }
+
     /// All entries, lapsed ones included.
     pub fn entries(&self) -> &BTreeMap<ServerName, Entry> {
         &self.entries
@@ -257,6 +272,7 @@
         let Some(entry) = self.entries.remove(name) else {
             return false;
         };
+        self.digest.toggle(&entry);
         let departure = Departure { entry, at: now };
         self.departed.insert(name.clone(), departure);
         true
@@ -273,6 +289,10 @@
         };
         self.departed.remove(&change.name);
         let old = self.entries.insert(change.name.clone(), entry.clone());
+        self.digest.toggle(entry);
+        if let Some(old) = &old {
+            self.digest.toggle(old);
+        }
         old.is_none_or(|old| old.server != entry.server || old.started != entry.started)
     }
 
