--- a/crates/wb-members/tests/listing.rs
+++ b/crates/wb-members/tests/listing.rs
@@ -270,3 +270,79 @@
     listing.replace(20, vec![restarted], at(20));
     assert_eq!(lifecycle(&listing, "s"), Some(Lifecycle::Live));
 }
+
+/// A part of an update.
+fn part(update: Update, part: u32, parts: u32) -> Update {
+    Update {
+        part,
+        parts,
+        ..update
+    }
+}
+
+#[test]
+fn parts_of_two_updates_are_counted_together() {
+    let mut listing = listing(&["s1", "s2"]);
+    let first = update(8, 16, vec![removed(15, "s2")]);
+    listing.apply_update(part(first, 2, 3), at(10));
+    let second = update(10, 16, vec![row(12, "s3")]);
+    listing.apply_update(part(second, 0, 2), at(20));
+    assert_eq!(
+        listing.content_version(),
+        Some(10),
+        "rows of the missing parts are unknown"
+    );
+}
+
+#[test]
+fn late_update_takes_back_that_a_server_is_leaving() {
+    let mut listing = listing(&["s1", "s2"]);
+    let leaving = numbered(30, "s1", 5, Lifecycle::Leaving);
+    listing.apply_update(part(update(10, 30, vec![leaving]), 0, 2), at(10));
+    let live = numbered(20, "s1", 4, Lifecycle::Live);
+    listing.apply_update(update(10, 20, vec![live]), at(20));
+    assert_eq!(lifecycle(&listing, "s1"), Some(Lifecycle::Leaving));
+}
+
+#[test]
+fn late_update_lists_a_server_that_has_left() {
+    let mut listing = listing(&["s1", "s2"]);
+    listing.apply_update(part(update(10, 30, vec![removed(30, "s1")]), 0, 2), at(10));
+    let live = numbered(20, "s1", 4, Lifecycle::Live);
+    listing.apply_update(update(10, 20, vec![live]), at(20));
+    assert!(!holds(&listing, "s1"));
+}
+
+#[test]
+fn late_removal_drops_a_server_that_has_registered_since() {
+    let mut listing = listing(&["s1", "s2"]);
+    listing.apply(30, vec![numbered(30, "s1", 5, Lifecycle::Live)], at(10));
+    let late = update(10, 40, vec![removed(20, "s1")]);
+    listing.apply_update(part(late, 0, 2), at(20));
+    assert!(holds(&listing, "s1"));
+}
+
+#[test]
+fn leaving_server_is_used_again_in_the_same_lifetime() {
+    let mut listing = listing(&["s"]);
+    listing.apply(12, vec![numbered(12, "s", 5, Lifecycle::Leaving)], at(10));
+    listing.apply(14, vec![numbered(14, "s", 6, Lifecycle::Live)], at(20));
+    assert_eq!(lifecycle(&listing, "s"), Some(Lifecycle::Leaving));
+    listing.apply(16, vec![removed(16, "s")], at(30));
+    listing.apply(18, vec![numbered(18, "s", 7, Lifecycle::Live)], at(40));
+    assert_ne!(lifecycle(&listing, "s"), Some(Lifecycle::Live));
+}
+
+#[test]
+fn lists_that_differ_after_a_lapse_have_the_same_digest() {
+    let mut sender = listing(&["s1", "s2"]);
+    let mut other = sender.clone();
+    sender.record_failure(at(100), at(100));
+    let changes = vec![removed(11, "s1"), row(12, "s3"), row(14, "s4")];
+    let changes = sender.apply(14, changes, at(200));
+    other.apply_update(update(10, 14, changes), at(210));
+    let lost = sender.expire(at(200) + REREGISTER_MAX);
+    assert_eq!(lost.len(), 1);
+    assert_eq!(sender.content_version(), other.content_version());
+    assert_ne!(sender.digest(), other.digest());
+}
