fix: an older row does not bring back a server that is leaving or has left

What callers saw: requests went to servers that were leaving, until their rows changed once more. A late update replaced a newer row, a late removal dropped a server that had registered since, and a row of the same start took back that the server leaves. Change: one order for all of them (listing/order.rs): version of the row, then start of the process, then the server's own count; in one lifetime, leaving is final.

--- a/crates/wb-members/src/listing/mod.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -7,6 +7,7 @@
 //! follows, so that a lost update is noticed.
 
 mod digest;
+mod order;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -20,6 +21,7 @@
 use wb_types::roster::Server;
 
 use digest::Digest;
+use order::LastRow;
 
 /// Time after the end of an outage in which servers register again: two seconds by the platform's
 /// documentation, plus some for the transfer.
@@ -50,13 +52,6 @@
     pub serial: u64,
 }
 
-impl Entry {
-    /// Order of the entries that a server has written, whatever the platform did to them.
-    fn order(&self) -> (u64, u64) {
-        (self.started, self.serial)
-    }
-}
-
 /// A row that was written or removed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -92,13 +87,6 @@
     version: ListVersion,
 }
 
-/// Last entry of a server that has left.
-#[derive(Clone, Debug)]
-struct Departure {
-    entry: Entry,
-    at: Moment,
-}
-
 /// Received parts of an update.
 #[derive(Clone, Debug, Default)]
 struct ReceivedParts {
@@ -117,7 +105,8 @@
     entries: BTreeMap<ServerName, Entry>,
     digest: Digest,
     lapses: BTreeMap<ServerName, Lapse>,
-    departed: BTreeMap<ServerName, Departure>,
+    /// Newest row of each server, also of those that have left.
+    last_rows: BTreeMap<ServerName, LastRow>,
     last_failure: Option<Moment>,
     received: ReceivedParts,
 }
@@ -164,9 +153,8 @@
         }
     }
 
-    /// Replaces the list by all rows of the platform. Rows that are older than what is known of
-    /// their servers come from an older copy of the platform, and change nothing. Returns the
-    /// changes.
+    /// Replaces the list by all rows of the platform, and ignores those that are older than what is
+    /// known of their servers. Returns the changes.
     pub fn replace(
         &mut self,
         read_version: ListVersion,
@@ -183,8 +171,8 @@
             })
             .collect();
         let newest = rows.iter().map(|row| row.version).max();
-        changes.extend(rows.into_iter().filter(|row| !self.is_outdated(row)));
-        self.read_version = Some(read_version);
+        changes.extend(rows);
+        self.read_version = self.read_version.max(Some(read_version));
         let changed = self.apply_rows(changes, now);
         self.content_version = self.content_version.max(newest.unwrap_or(0));
         changed
@@ -214,6 +202,9 @@
         }
         let mut changed = Vec::new();
         for change in update.changes {
+            if self.is_outdated(&change) {
+                continue;
+            }
             self.lapses.remove(&change.name);
             if self.upsert(&change, now) {
                 changed.push(change);
@@ -237,12 +228,18 @@
         let in_outage = last_failure.is_some_and(|at| now.saturating_sub(at) < OUTAGE_WINDOW);
         let mut changed = Vec::new();
         for change in changes {
+            if self.is_outdated(&change) {
+                continue;
+            }
             if change.entry.is_none() && in_outage && self.is_live(&change.name) {
                 // The platform has just answered, so servers can reach it as well.
                 let lapse = Lapse {
                     until: now + REREGISTER_TIME,
                     version: change.version,
                 };
+                if let Some(last) = self.last_rows.get_mut(&change.name) {
+                    last.lapse(change.version);
+                }
                 self.lapses.entry(change.name).or_insert(lapse);
                 continue;
             }
@@ -255,26 +252,20 @@
         changed
     }
 
-    /// Whether the server has written a newer entry than this row's, or has left after it.
     fn is_outdated(&self, row: &RowChange) -> bool {
-        let departed = self.departed.get(&row.name);
-        let departed = departed.map(|departure| &departure.entry);
-        let Some(entry) = &row.entry else {
-            return false;
-        };
-        let listed = self.entries.get(&row.name);
-        listed.is_some_and(|known| entry.order() < known.order())
-            || departed.is_some_and(|known| entry.order() <= known.order())
+        let last = self.last_rows.get(&row.name);
+        last.is_some_and(|last| last.outdates(row))
     }
 
     /// Removes a server. Returns whether it was listed.
-    fn remove(&mut self, name: &ServerName, now: Moment) -> bool {
+    fn remove(&mut self, name: &ServerName, version: ListVersion, now: Moment) -> bool {
         let Some(entry) = self.entries.remove(name) else {
             return false;
         };
         self.digest.toggle(&entry);
-        let departure = Departure { entry, at: now };
-        self.departed.insert(name.clone(), departure);
+        if let Some(last) = self.last_rows.get_mut(name) {
+            last.depart(version, now);
+        }
         true
     }
 
@@ -285,9 +276,10 @@
 
     fn upsert(&mut self, change: &RowChange, now: Moment) -> bool {
         let Some(entry) = &change.entry else {
-            return self.remove(&change.name, now);
+            return self.remove(&change.name, change.version, now);
         };
-        self.departed.remove(&change.name);
+        let last = LastRow::listed(entry, change.version);
+        self.last_rows.insert(change.name.clone(), last);
         let old = self.entries.insert(change.name.clone(), entry.clone());
         self.digest.toggle(entry);
         if let Some(old) = &old {
@@ -299,8 +291,9 @@
     /// Drops lapsed entries whose servers did not register again in time, and what is remembered of
     /// servers that left long ago. Returns the changes.
     pub fn expire(&mut self, now: Moment) -> Vec<RowChange> {
-        self.departed
-            .retain(|_, departure| now.saturating_sub(departure.at) < DEPARTED_KEEP);
+        let is_recent = |at| now.saturating_sub(at) < DEPARTED_KEEP;
+        self.last_rows
+            .retain(|_, last| last.departed.is_none_or(is_recent));
         let expired = self.lapses.iter().filter(|(_, lapse)| now >= lapse.until);
         let expired: Vec<RowChange> = expired
             .map(|(name, lapse)| RowChange {
@@ -311,7 +304,7 @@
             .collect();
         for change in &expired {
             self.lapses.remove(&change.name);
-            self.remove(&change.name, now);
+            self.remove(&change.name, change.version, now);
             self.content_version = self.content_version.max(change.version);
         }
         expired
