fix: parts of two updates of the server list are not counted together

Cause: received parts were told apart by the version that their update leads to. With part 2 of 3 from one instance and part 0 of 2 from another, a list claimed version 16 without the rows of the lost part, had the version of the heartbeats, and so was not read again. Change: an update has a random number, and its parts are counted by number, versions and count of parts (listing/parts.rs). The number is the last field; builds that don't send it are read as before.

--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -160,6 +160,7 @@
         chunks.push(&[]);
     }
     let parts = chunks.len() as u32;
+    let id = rand::random();
     for (part, chunk) in (0..).zip(chunks) {
         let update = Update {
             after,
@@ -167,6 +168,7 @@
             part,
             parts,
             changes: chunk.to_vec(),
+            id,
         };
         context.send_packet(Packet::Servers(update), to.clone());
     }
--- a/crates/wb-members/src/listing/mod.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -8,6 +8,7 @@
 
 mod digest;
 mod order;
+mod parts;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -22,6 +23,7 @@
 
 use digest::Digest;
 use order::LastRow;
+use parts::PartialUpdates;
 
 /// Time after the end of an outage in which servers register again: two seconds by the platform's
 /// documentation, plus some for the transfer.
@@ -35,6 +37,9 @@
 /// used because a failure may show only long after the platform is back.
 const OUTAGE_WINDOW: Duration = Duration::from_secs(3);
 
+/// Number of an update, chosen at random by its sender.
+pub type UpdateId = u64;
+
 /// Version of the platform's rows. It never goes back, even if the platform does.
 pub type ListVersion = u64;
 
@@ -78,6 +83,9 @@
     pub parts: u32,
     /// The changes.
     pub changes: Vec<RowChange>,
+    /// Tells the parts of this update from those of others; 0 from builds that send none.
+    #[serde(deserialize_with = "wb_types::wire::or_default")]
+    pub id: UpdateId,
 }
 
 /// A removal that is deferred.
@@ -87,13 +95,6 @@
     version: ListVersion,
 }
 
-/// Received parts of an update.
-#[derive(Clone, Debug, Default)]
-struct ReceivedParts {
-    upto: ListVersion,
-    seen: BTreeSet<u32>,
-}
-
 /// The list of backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
@@ -108,7 +109,7 @@
     /// Newest row of each server, also of those that have left.
     last_rows: BTreeMap<ServerName, LastRow>,
     last_failure: Option<Moment>,
-    received: ReceivedParts,
+    partial: PartialUpdates,
 }
 
 impl Listing {
@@ -200,6 +201,7 @@
         if update.upto < self.content_version {
             return Some(Vec::new());
         }
+        let complete = self.partial.record(&update);
         let mut changed = Vec::new();
         for change in update.changes {
             if self.is_outdated(&change) {
@@ -210,14 +212,7 @@
                 changed.push(change);
             }
         }
-        if self.received.upto != update.upto {
-            self.received = ReceivedParts {
-                upto: update.upto,
-                seen: BTreeSet::new(),
-            };
-        }
-        self.received.seen.insert(update.part);
-        if self.received.seen.len() >= update.parts as usize {
+        if complete {
             self.content_version = update.upto;
         }
         Some(changed)
--- a/crates/wb-members/tests/listing.rs
+++ b/crates/wb-members/tests/listing.rs
@@ -66,6 +66,7 @@
         part: 0,
         parts: 1,
         changes,
+        id: 1,
     }
 }
 
@@ -159,11 +160,8 @@
 #[test]
 fn update_after_a_gap_is_rejected() {
     let mut listing = listing(&["s1"]);
-    assert!(
-        listing
-            .apply_update(update(11, 12, vec![removed(12, "s1")]), at(0))
-            .is_none()
-    );
+    let applied = listing.apply_update(update(11, 12, vec![removed(12, "s1")]), at(0));
+    assert!(applied.is_none());
     assert!(holds(&listing, "s1"));
     assert_eq!(listing.content_version(), Some(10));
 }
@@ -184,11 +182,8 @@
     let after = sender.content_version().expect("it has a list");
     let changes = sender.apply(44, vec![removed(43, "s1")], at(200));
     let upto = sender.content_version().expect("it has a list");
-    assert!(
-        other
-            .apply_update(update(after, upto, changes), at(0))
-            .is_some()
-    );
+    let applied = other.apply_update(update(after, upto, changes), at(0));
+    assert!(applied.is_some());
     assert!(!holds(&other, "s1"));
     assert_eq!(other.content_version(), sender.content_version());
 }
@@ -287,7 +282,10 @@
     let mut listing = listing(&["s1", "s2"]);
     let first = update(8, 16, vec![removed(15, "s2")]);
     listing.apply_update(part(first, 2, 3), at(10));
-    let second = update(10, 16, vec![row(12, "s3")]);
+    let second = Update {
+        id: 2,
+        ..update(10, 16, vec![row(12, "s3")])
+    };
     listing.apply_update(part(second, 0, 2), at(20));
     assert_eq!(
         listing.content_version(),
--- a/crates/wb-types/src/lib.rs
+++ b/crates/wb-types/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`member`]: gossip messages between instances.
 //! - [`rendezvous`]: rendezvous hashing.
 //! - [`request`]: a request in the queues, and outcomes of attempts.
+//! - [`wire`]: compatibility of messages between builds.
 
 pub mod id;
 pub mod member;
@@ -15,3 +16,4 @@
 pub mod rendezvous;
 pub mod request;
 pub mod roster;
+pub mod wire;
