fix: a request is not sent to a server that began to leave while its connection was opened

Cause: a server was chosen, then a connection was opened for up to half a second, or a stale one replaced, and the request was sent without another look at the list. That time came on top of the age of the list. Change: after the connection is open, the attempt asks whether its server still takes requests; if not, it ends as not sent and the request is assigned to another server. No evidence against the server, no use of the retry budget. On real sockets it was not seen red: a connection that opens slowly but in time can't be made on loopback.

--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -9,6 +9,7 @@
 
 use super::Balancer;
 use super::ServerEntry;
+use super::ServerKey;
 use crate::RetryBudget;
 use crate::limit::Rate;
 
@@ -45,6 +46,12 @@
         self.servers.get_mut(key)
     }
 
+    /// Whether a request that was assigned to a server may still be sent there: the server may have
+    /// begun to leave, or have left, while the connection was opened.
+    pub fn may_send(&self, key: ServerKey) -> bool {
+        self.servers.get(key).is_some_and(ServerEntry::is_usable)
+    }
+
     /// Own requests in flight, for each server that has any. Marks all counts as reported to peers.
     pub fn report_running(&mut self) -> HashMap<ServerName, u32> {
         self.report(|entry| entry.own_running > 0)
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -89,6 +89,9 @@
             Ok(connection) => connection,
             Err(reason) => return fail_unsent(&routed, slot, request, &reason),
         };
+        if !slot.may_send() {
+            return withdraw(&routed, slot, request);
+        }
         let exchange = exchange(
             context.clone(),
             routed.clone(),
@@ -213,6 +216,22 @@
     }
 }
 
+/// Ends an attempt whose server takes no more requests since the request was assigned to it.
+fn withdraw(routed: &RoutedRequest, slot: Slot, request: Request<Body>) -> Outcome {
+    log_failure(
+        routed,
+        &slot,
+        "withdrawn",
+        "the server takes no more requests",
+    );
+    slot.release(AttemptOutcome::Inconclusive);
+    Outcome::NotExecuted {
+        reason: "withdrawn",
+        reached: false,
+        body: Some(request.into_body()),
+    }
+}
+
 /// Ends an attempt whose connection was lost after `took`. `idle_time` is how long the connection
 /// had been idle before the attempt; `None` for a new one.
 fn handle_reset(
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -173,6 +173,13 @@
         self.release_once(outcome);
     }
 
+    /// Whether the request may still be sent to the server.
+    pub fn may_send(&self) -> bool {
+        let state = self.context.state();
+        let service = state.services.get(&self.routed.service);
+        service.is_some_and(|service| service.balancer.may_send(self.assignment.key))
+    }
+
     /// Returns the limits on the connection for the request: how many the server may have, and how
     /// long a reused one may have been idle.
     pub fn send_options(&self) -> SendOptions {
