fix: a server that says in a response that it is leaving gets no more requests

Change: a response with the header, of whatever status, counts if it is for the request that was sent and not from another server at the address. The server, in this lifetime, takes no more requests from then on: rows of the platform that still call it live change nothing, a later start does (listing/statements.rs). All other instances are told at once, and one that starts is told by the homes. E303 says who learnt it from which request.

--- a/crates/wb-gateway/src/peers/mod.rs
+++ b/crates/wb-gateway/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! sender if the platform does not answer ([`snapshot`]).
 
 pub mod heartbeat;
+pub mod leaving;
 pub mod limits;
 pub mod packet;
 pub mod receive;
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -10,6 +10,7 @@
 use wb_balance::idle::ResetCause;
 use wb_balance::limit::Observation;
 use wb_balance::limit::Rate;
+use wb_members::listing::Lifetime;
 use wb_members::listing::ListVersion;
 use wb_members::listing::Update;
 use wb_members::steering::Card;
@@ -80,6 +81,13 @@
         /// Its era since then.
         era: Era,
     },
+    /// Backend servers that have said in a response that they are leaving.
+    LeavingServers {
+        /// Sender.
+        from: InstanceName,
+        /// The servers, each with the start of its process.
+        servers: Vec<(ServerName, Lifetime)>,
+    },
 }
 
 /// What a response says about the limit of its server, as another instance reports it.
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -16,6 +16,7 @@
 
 use super::Packet;
 use super::heartbeat;
+use super::leaving;
 use super::limits;
 use super::packet::Heartbeat;
 use super::packet::LimitReport;
@@ -41,6 +42,7 @@
         } => handle_evidence(context, &from, &service, &server, evidence),
         Packet::Servers(update) => handle_servers(context, update, peer),
         Packet::ServerLimits { from, limits } => handle_limits(context, &from, &limits),
+        Packet::LeavingServers { from, servers } => leaving::handle(context, &from, &servers),
         Packet::Leaving { from } => {
             let mut state = context.state();
             state.steering.mark_left(&from);
@@ -84,6 +86,11 @@
         for packet in limits::reports(&state, Audience::NewInstance, now) {
             context.send_packet(packet, vec![peer]);
         }
+        if state.steering.is_home() {
+            for packet in leaving::reports(&state) {
+                context.send_packet(packet, vec![peer]);
+            }
+        }
     }
     let routes = state.routes.as_ref().map_or(0, |routes| routes.version);
     if heartbeat.routes_version > routes {
--- a/crates/wb-gateway/src/platform.rs
+++ b/crates/wb-gateway/src/platform.rs
@@ -115,6 +115,8 @@
     pub not_executed: HeaderName,
     /// Requests a second that the server takes from all instances together.
     pub server_limit: HeaderName,
+    /// Marks a response of a server that is leaving.
+    pub server_leaving: HeaderName,
 }
 
 /// A caller's query for the addresses to use.
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -24,6 +24,8 @@
 use wb_http::pool::ResponseBody;
 use wb_types::id::Moment;
 
+use super::leaving;
+use super::leaving::Receiver;
 use super::limit;
 use super::routed::RoutedRequest;
 use super::routed::header_text;
@@ -150,10 +152,12 @@
     let overdue = routed.latency_threshold(&context, OVERDUE_FACTOR, OVERDUE_MIN);
     let overdue = (started + overdue).saturating_sub(context.now());
     let server = slot.assignment.key;
+    let receiver = Receiver::of(&slot);
     let response = async {
         let sent = context.now();
         let response = connection.send(request).await?;
         limit::observe(&context, &routed, server, response.headers(), sent);
+        leaving::observe(&context, &routed, &receiver, &response);
         let idle_time = response.body().idle_time();
         Ok((idle_time, check_response(&context, &routed, response).await))
     };
--- /dev/null
+++ b/crates/wb-gateway/src/proxy/leaving.rs
@@ -0,0 +1,82 @@
+//! Servers that say in a response that they are leaving.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::StatusCode;
+use wb_event::Event;
+use wb_event::line;
+use wb_http::pool::PooledResponse;
+use wb_members::listing::Lifetime;
+use wb_types::id::ServerName;
+
+use super::routed::RoutedRequest;
+use super::routed::header_text;
+use super::slot::Slot;
+use crate::Context;
+use crate::peers::Packet;
+
+/// Value of the header of a server that is leaving.
+const IS_LEAVING: &str = "1";
+
+/// Backend server to which a request was sent.
+pub struct Receiver {
+    server: ServerName,
+    lifetime: Option<Lifetime>,
+}
+
+impl Receiver {
+    /// The server of a slot.
+    pub fn of(slot: &Slot) -> Self {
+        Self {
+            server: slot.assignment.server.name.clone(),
+            lifetime: slot.lifetime,
+        }
+    }
+}
+
+/// Records that a server says in a response that it is leaving, and tells the other instances.
+pub fn observe(
+    context: &Context,
+    routed: &RoutedRequest,
+    receiver: &Receiver,
+    response: &PooledResponse,
+) {
+    let names = &context.headers;
+    let headers = response.headers();
+    if !says_leaving(headers, &names.server_leaving) {
+        return;
+    }
+    // Another server, or a response to another request, says nothing about this server now.
+    let echoed = header_text(headers, &names.request_id);
+    let is_other = echoed.is_some_and(|echoed| echoed != routed.id);
+    if is_other || response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let Receiver { server, lifetime } = receiver;
+    let Some(lifetime) = *lifetime else {
+        return;
+    };
+    let now = context.now();
+    let mut state = context.state();
+    if !state.listing.record_leaving(server, lifetime, now) {
+        return;
+    }
+    line!(
+        Event::ServerLeaving,
+        server = server,
+        service = routed.service,
+        request = routed.id
+    );
+    let packet = Packet::LeavingServers {
+        from: context.settings.card.name.clone(),
+        servers: vec![(server.clone(), lifetime)],
+    };
+    context.send_packet(packet, state.steering.peer_addresses());
+    state.apply_listing(context, now);
+}
+
+fn says_leaving(headers: &HeaderMap, name: &HeaderName) -> bool {
+    let values = headers.get_all(name).iter();
+    let mut texts = values.filter_map(|value| value.to_str().ok());
+    texts.any(|text| text.trim() == IS_LEAVING)
+}
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -6,12 +6,14 @@
 //! - [`slot`]: slots at backend servers.
 //! - [`attempt`]: one attempt at one server.
 //! - [`limit`]: what a response says about the limit of its server.
+//! - [`leaving`]: servers that say in a response that they are leaving.
 //! - [`streamed`]: responses that are too large to buffer.
 //! - [`response`]: responses of the daemon itself, and the log lines and metrics of a finished
 //!   request.
 
 pub mod attempt;
 pub mod forward;
+pub mod leaving;
 pub mod limit;
 pub mod payload;
 pub mod response;
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -17,6 +17,7 @@
 use wb_event::Event;
 use wb_event::line;
 use wb_http::pool::SendOptions;
+use wb_members::listing::Lifetime;
 use wb_types::id::Moment;
 
 use super::routed::RoutedRequest;
@@ -28,6 +29,8 @@
 pub struct Slot {
     /// Server and slot that the balancer assigned.
     pub assignment: Box<Assignment>,
+    /// Start of the server's process; `None` if it has left the list meanwhile.
+    pub lifetime: Option<Lifetime>,
     context: Arc<Context>,
     routed: Arc<RoutedRequest>,
     released: bool,
@@ -131,8 +134,11 @@
         let attempts = &context.metrics.limited_attempts;
         attempts.get_or_create(&labels).inc();
     }
+    let server = &assignment.server.name;
+    let lifetime = context.state().listing.lifetime(server);
     Ok(Slot {
         assignment,
+        lifetime,
         context: context.clone(),
         routed: routed.clone(),
         released: false,
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -136,8 +136,9 @@
         let share = self.share();
         let own = self.steering.own_card().name.clone();
         let division = Division::new(own, self.steering.homes().to_vec());
-        for entry in self.listing.entries().values() {
+        for (entry, lifecycle) in self.listing.servers() {
             let mut server = entry.server.clone();
+            server.lifecycle = lifecycle;
             server.max_connections = self.connection_limit(&server, share);
             let warmup = entry.warmup;
             let list = lists.entry(server.service.clone()).or_default();
--- a/crates/wb-members/src/listing/mod.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -11,6 +11,7 @@
 pub mod freshness;
 mod order;
 mod parts;
+mod statements;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -27,6 +28,7 @@
 use freshness::ListState;
 use order::LastRow;
 use parts::PartialUpdates;
+use statements::Statements;
 
 /// Time after the end of an outage in which servers register again: two seconds by the platform's
 /// documentation, plus some for the transfer.
@@ -40,6 +42,9 @@
 /// used because a failure may show only long after the platform is back.
 const OUTAGE_WINDOW: Duration = Duration::from_secs(3);
 
+/// Start of a server's process, in milliseconds since the Unix epoch; 0 if unknown.
+pub type Lifetime = u64;
+
 /// Number of an update, chosen at random by its sender.
 pub type UpdateId = u64;
 
@@ -54,8 +59,8 @@
     pub server: Server,
     /// Time until the server has warmed up.
     pub warmup: Duration,
-    /// Start of its process, in milliseconds since the Unix epoch; 0 if unknown.
-    pub started: u64,
+    /// Start of its process.
+    pub started: Lifetime,
     /// Number of the entry among those that the process has written.
     pub serial: u64,
 }
@@ -129,6 +134,7 @@
     last_rows: BTreeMap<ServerName, LastRow>,
     last_failure: Option<Moment>,
     partial: PartialUpdates,
+    statements: Statements,
 }
 
 impl Listing {
@@ -171,6 +177,35 @@
         &self.entries
     }
 
+    /// All servers, in the state that their rows and their own responses tell.
+    pub fn servers(&self) -> impl Iterator<Item = (&Entry, Lifecycle)> {
+        self.entries.values().map(|entry| {
+            let server = &entry.server;
+            let says = self.statements.is_leaving(&server.name, entry.started);
+            let lifecycle = if says {
+                Lifecycle::Leaving
+            } else {
+                server.lifecycle
+            };
+            (entry, lifecycle)
+        })
+    }
+
+    /// Start of the process of a listed server.
+    pub fn lifetime(&self, server: &str) -> Option<Lifetime> {
+        self.entries.get(server).map(|entry| entry.started)
+    }
+
+    /// Records that a server said in a response that it is leaving. Returns whether that is news.
+    pub fn record_leaving(&mut self, server: &ServerName, lifetime: Lifetime, now: Moment) -> bool {
+        self.statements.record(server, lifetime, now)
+    }
+
+    /// Servers that have said in a response that they are leaving.
+    pub fn leaving_servers(&self) -> Vec<(ServerName, Lifetime)> {
+        self.statements.all()
+    }
+
     /// Records that a platform call that started at `start` failed: entries that are removed now
     /// may have lapsed.
     pub fn record_failure(&mut self, start: Moment, now: Moment) {
@@ -321,6 +356,9 @@
         let is_recent = |at| now.saturating_sub(at) < DEPARTED_KEEP;
         self.last_rows
             .retain(|_, last| last.departed.is_none_or(is_recent));
+        let entries = &self.entries;
+        let listed = |server: &str| entries.get(server).map(|entry| entry.started);
+        self.statements.expire(listed, now);
         let expired = self.lapses.iter().filter(|(_, lapse)| now >= lapse.until);
         let expired: Vec<RowChange> = expired
             .map(|(name, lapse)| RowChange {
--- a/crates/wb-members/src/listing/order.rs
+++ b/crates/wb-members/src/listing/order.rs
@@ -4,13 +4,14 @@
 use wb_types::roster::Lifecycle;
 
 use super::Entry;
+use super::Lifetime;
 use super::ListVersion;
 use super::RowChange;
 
 /// Newest row of a server, also of one that has left.
 #[derive(Clone, Copy, Debug)]
 pub struct LastRow {
-    started: u64,
+    started: Lifetime,
     serial: u64,
     lifecycle: Lifecycle,
     version: ListVersion,
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -38,6 +39,9 @@
 /// Header with the requests a second that the server takes from all instances together.
 pub const SERVER_LIMIT: &str = "server-limit";
 
+/// Header of all responses of a server that is leaving.
+pub const SERVER_LEAVING: &str = "server-leaving";
+
 /// Limit of waiting requests at a server; further ones are shed.
 const QUEUE_MAX: u32 = 24;
 
@@ -148,6 +152,8 @@
     behaviour: Mutex<Behaviour>,
     /// Limit that the server names, in requests a second; it does not enforce it.
     limit: Mutex<Option<f64>>,
+    /// When it began to say that it is leaving.
+    leaving: Mutex<Option<Instant>>,
     arrivals: Mutex<Vec<Instant>>,
     ledger: Arc<Ledger>,
 }
@@ -162,6 +168,7 @@
             busy: AtomicU32::new(0),
             behaviour: Mutex::default(),
             limit: Mutex::default(),
+            leaving: Mutex::default(),
             arrivals: Mutex::default(),
             ledger,
         });
@@ -184,13 +191,24 @@
         *self.limit.lock().expect("lock is not poisoned") = limit;
     }
 
+    /// Says from now on in all responses that it is leaving.
+    pub fn set_leaving(&self) {
+        let mut leaving = self.leaving.lock().expect("lock is not poisoned");
+        leaving.get_or_insert_with(Instant::now);
+    }
+
+    /// Returns since when it says that it is leaving.
+    pub fn leaving_since(&self) -> Option<Instant> {
+        *self.leaving.lock().expect("lock is not poisoned")
+    }
+
     /// Returns when requests arrived, refused ones included.
     pub fn arrivals(&self) -> Vec<Instant> {
         let arrivals = self.arrivals.lock().expect("lock is not poisoned");
         arrivals.clone()
     }
 
-    /// Handles a request, and names the limit in the response, whatever it is.
+    /// Handles a request, and says in the response, whatever it is, what it says of itself.
     async fn respond(&self, request: Request<Incoming>) -> io::Result<Response<Body>> {
         let behaviour = *self.behaviour.lock().expect("lock is not poisoned");
         let now = Instant::now();
@@ -203,6 +221,10 @@
             let value = value.expect("a number is a valid header value");
             response.headers_mut().insert(SERVER_LIMIT, value);
         }
+        if self.leaving_since().is_some() {
+            let value = HeaderValue::from_static("1");
+            response.headers_mut().insert(SERVER_LEAVING, value);
+        }
         Ok(response)
     }
 
