fix: a server that turns a request away with Retry-After gets nothing for that long

Nothing read the header; after 60 ms the server was sent requests again. Change: on a 503 or 429 to the request that was sent, the server is paused for the longest time named (fractions allowed; negative, infinite, dates and other texts are ignored and logged as E311; at most an hour). Every choice of a server passes the one gate that limits pass, and a request that is still connecting is assigned to another. It is no evidence of a failure, a shorter pause does not end a longer one, and other instances are not told: the server has asked this one alone, and an idle server helps no caller. The wait of queued requests is worked out with the moments from which servers are available again (wb-balance/pause.rs), so that what can't be served is refused at once and what can waits.

--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -12,6 +12,8 @@
 use super::ServerKey;
 use crate::RetryBudget;
 use crate::limit::Rate;
+use crate::pause;
+use crate::pause::Capacity;
 
 /// Ratio of a route's latency target to the duration of its requests that is assumed until one was
 /// seen: the users' targets are three to five times the usual duration.
@@ -33,10 +35,15 @@
         self.server.lifecycle == Lifecycle::Live && !self.misdirected
     }
 
-    /// Whether the server may be sent a request now, as far as its limit goes. Every choice of a
-    /// server depends on it.
+    /// Whether the server may be sent a request now, as far as its limit and pause go. Every choice
+    /// of a server depends on it.
     pub(super) fn is_open(&self, now: Moment) -> bool {
-        self.is_usable() && self.limit.admits(now)
+        self.is_usable() && !self.is_paused(now) && self.limit.admits(now)
+    }
+
+    /// Whether the server wants no requests of this instance now.
+    pub(super) fn is_paused(&self, now: Moment) -> bool {
+        now < self.paused_until
     }
 }
 
@@ -47,9 +54,31 @@
     }
 
     /// Whether a request that was assigned to a server may still be sent there: the server may have
-    /// begun to leave, or have left, while the connection was opened.
-    pub fn may_send(&self, key: ServerKey) -> bool {
-        self.servers.get(key).is_some_and(ServerEntry::is_usable)
+    /// begun to leave, have left or asked for a pause while the connection was opened.
+    pub fn may_send(&self, key: ServerKey, now: Moment) -> bool {
+        let entry = self.servers.get(key);
+        entry.is_some_and(|entry| entry.is_usable() && !entry.is_paused(now))
+    }
+
+    /// Sends a server no requests for some time, since it has asked for that. Returns whether that is
+    /// later than it had asked before.
+    pub fn pause(&mut self, key: ServerKey, pause: Duration, now: Moment) -> bool {
+        let Some(entry) = self.servers.get_mut(key) else {
+            return false;
+        };
+        let until = now + pause;
+        if until <= entry.paused_until.max(now) {
+            return false;
+        }
+        entry.paused_until = until;
+        self.limits_reduced = true;
+        true
+    }
+
+    /// Number of servers that want no requests of this instance now.
+    pub fn paused_count(&self, now: Moment) -> usize {
+        let entries = self.servers.values();
+        entries.filter(|entry| entry.is_paused(now)).count()
     }
 
     /// Own requests in flight, for each server that has any. Marks all counts as reported to peers.
@@ -119,23 +148,31 @@
     /// Requests per second that this instance can send to the servers that are not suspect, or to
     /// all usable servers if every one is.
     pub(super) fn capacity(&self) -> Rate {
+        let capacities = self.capacities();
+        capacities.iter().map(|capacity| capacity.rate).sum()
+    }
+
+    /// The same for each server, from the end of its pause on.
+    fn capacities(&self) -> Vec<Capacity> {
         let by_slots = self.share / self.mean_duration;
         let capacity = |entry: &ServerEntry| {
             let rate = f64::from(entry.server.slots) * by_slots;
-            entry.limit.part().map_or(rate, |part| part.min(rate))
+            Capacity {
+                from: entry.paused_until,
+                rate: entry.limit.part().map_or(rate, |part| part.min(rate)),
+            }
         };
         let usable = || self.servers.values().filter(|entry| entry.is_usable());
         if usable().any(ServerEntry::is_healthy) {
             let healthy = usable().filter(|entry| entry.is_healthy());
-            return healthy.map(capacity).sum();
+            return healthy.map(capacity).collect();
         }
-        usable().map(capacity).sum()
+        usable().map(capacity).collect()
     }
 
     /// Estimated wait until `ahead` requests have got a slot, as long as the set of healthy servers
     /// does not change. `None` if this instance may send no requests.
-    pub(super) fn estimate_wait(&self, ahead: usize) -> Option<Duration> {
-        let wait = ahead as f64 / self.capacity();
-        Duration::try_from_secs_f64(wait).ok()
+    pub(super) fn estimate_wait(&self, ahead: usize, now: Moment) -> Option<Duration> {
+        pause::wait_for(ahead as f64, &mut self.capacities(), now)
     }
 }
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -186,6 +186,8 @@
     misdirected: bool,
     /// Limit that the server has named for all instances together.
     limit: ServerLimit,
+    /// Gets no requests before this time, because it has asked for a pause.
+    paused_until: Moment,
 }
 
 /// A queued request.
@@ -233,6 +235,7 @@
     /// How servers' limits are divided among the instances.
     division: Division,
     overload: Overload,
-    /// Whether limits have reduced what this instance may send since the queue was last checked.
+    /// Whether limits or pauses have reduced what this instance may send since the queue was last
+    /// checked.
     limits_reduced: bool,
 }
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -149,7 +149,7 @@
         ahead: usize,
         now: Moment,
     ) -> Option<Duration> {
-        let wait = self.estimate_wait(ahead + 1)?;
+        let wait = self.estimate_wait(ahead + 1, now)?;
         let average = self.typical_duration(&request.route, request.target_latency);
         let room = request.deadline.saturating_sub(now);
         Some(wait.saturating_add(average).saturating_sub(room))
@@ -164,7 +164,7 @@
         let ahead = self.queue.values().filter(|waiter| {
             waiter.request.priority <= request.priority && !self.is_late(&waiter.request, now)
         });
-        let wait = self.estimate_wait(ahead.count() + 1)?;
+        let wait = self.estimate_wait(ahead.count() + 1, now)?;
         self.is_late(request, now + wait).then_some(wait)
     }
 
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -84,6 +84,7 @@
                 entry.detector = FailureDetector::default();
                 entry.misdirected = false;
                 entry.limit = ServerLimit::default();
+                entry.paused_until = Moment::ZERO;
             }
             entry.server = listed.server.clone();
             return;
@@ -100,6 +101,7 @@
             warm_at: now + listed.warmup,
             misdirected: false,
             limit: ServerLimit::default(),
+            paused_until: Moment::ZERO,
         });
         self.keys.insert(listed.server.name.clone(), key);
     }
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -56,7 +56,7 @@
         let deadline = |key: &WaitKey| self.queue[*key].request.deadline;
         let hopeless = |key: &WaitKey| self.overload.lasts_until(deadline(key), now);
         let hopeless: Vec<WaitKey> = late.into_iter().filter(hopeless).collect();
-        let wait = self.estimate_wait(self.queue.len() - hopeless.len() + 1);
+        let wait = self.estimate_wait(self.queue.len() - hopeless.len() + 1, now);
         let refuse = |key| {
             self.queue.remove(key);
             let result = Err(Self::refusal(
@@ -92,8 +92,8 @@
         )
     }
 
-    /// Takes out requests that would wait beyond their deadline, since limits of servers have
-    /// reduced what this instance may send.
+    /// Takes out requests that would wait beyond their deadline, since limits or pauses of
+    /// servers have reduced what this instance may send.
     fn refuse_excess(&mut self, now: Moment) -> Vec<Released> {
         if !std::mem::take(&mut self.limits_reduced) {
             return Vec::new();
--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`detector`]: failure detector of one server, and when a suspect server is tried again.
 //! - [`balancer`]: the servers of one service, the choice among them, and the queue.
+//! - [`pause`]: pauses that servers ask for.
 //! - [`retry`]: budget of retries and hedged sends.
 //! - [`hedge`]: when a second attempt starts while the first is in progress.
 //! - [`idle`]: how long a connection may have been idle and still be reused.
@@ -18,6 +19,7 @@
 pub mod limit;
 pub mod options;
 pub mod overload;
+pub mod pause;
 pub mod retry;
 
 pub use balancer::Assignment;
--- a/crates/wb-balance/tests/withdrawn.rs
+++ b/crates/wb-balance/tests/withdrawn.rs
@@ -14,11 +14,11 @@
 fn request_that_is_still_connecting_is_sent_to_a_leaving_server() {
     let mut balancer = service(1, 6);
     let assigned = assignment_of(balancer.admit(request(false, at(0)), at(0)));
-    assert!(balancer.may_send(assigned.key));
+    assert!(balancer.may_send(assigned.key, at(50)));
     let mut leaving = listed("s0", "a", 6);
     leaving.server.lifecycle = Lifecycle::Leaving;
     balancer.update(&[leaving, listed("s1", "a", 6)], at(100));
-    assert!(!balancer.may_send(assigned.key));
+    assert!(!balancer.may_send(assigned.key, at(100)));
     balancer.finish(
         assigned.key,
         "orders",
@@ -27,7 +27,7 @@
     );
     let again = assignment_of(balancer.reassign(request(false, at(0)), at(110)));
     assert_eq!(&*again.server.name, "s1");
-    assert!(balancer.may_send(again.key));
+    assert!(balancer.may_send(again.key, at(110)));
 }
 
 #[test]
@@ -35,5 +35,5 @@
     let mut balancer = service(1, 6);
     let assigned = assignment_of(balancer.admit(request(false, at(0)), at(0)));
     balancer.update(&[listed("s1", "a", 6)], at(100));
-    assert!(!balancer.may_send(assigned.key));
+    assert!(!balancer.may_send(assigned.key, at(100)));
 }
--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -63,6 +63,8 @@
     RosterVersion = 309,
     /// This instance may have missed changes of the list of backend servers.
     RosterStale = 310,
+    /// A backend server that turned a request away asked for a pause.
+    ServerPause = 311,
     /// A member's liveness changed.
     Member = 401,
     /// The homes or owners of a service changed.
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -27,6 +27,7 @@
 use super::leaving;
 use super::leaving::Receiver;
 use super::limit;
+use super::pause;
 use super::routed::RoutedRequest;
 use super::routed::header_text;
 use super::slot::Slot;
@@ -158,6 +159,8 @@
         let response = connection.send(request).await?;
         limit::observe(&context, &routed, server, response.headers(), sent);
         leaving::observe(&context, &routed, &receiver, &response);
+        let status = response.status();
+        pause::observe(&context, &routed, server, status, response.headers());
         let idle_time = response.body().idle_time();
         Ok((idle_time, check_response(&context, &routed, response).await))
     };
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! - [`attempt`]: one attempt at one server.
 //! - [`limit`]: what a response says about the limit of its server.
 //! - [`leaving`]: servers that say in a response that they are leaving.
+//! - [`pause`]: pauses that servers ask for when they turn a request away.
 //! - [`streamed`]: responses that are too large to buffer.
 //! - [`response`]: responses of the daemon itself, and the log lines and metrics of a finished
 //!   request.
@@ -15,6 +16,7 @@
 pub mod forward;
 pub mod leaving;
 pub mod limit;
+pub mod pause;
 pub mod payload;
 pub mod response;
 pub mod routed;
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -183,7 +183,8 @@
     pub fn may_send(&self) -> bool {
         let state = self.context.state();
         let service = state.services.get(&self.routed.service);
-        service.is_some_and(|service| service.balancer.may_send(self.assignment.key))
+        let now = self.context.now();
+        service.is_some_and(|service| service.balancer.may_send(self.assignment.key, now))
     }
 
     /// Returns the limits on the connection for the request: how many the server may have, and how
--- a/crates/wb-soak/src/check.rs
+++ b/crates/wb-soak/src/check.rs
@@ -171,7 +171,7 @@
 fn check_limits(testbed: &Testbed, faults: &[Fault]) -> Vec<String> {
     let mut violations = Vec::new();
     for backend in &testbed.backends {
-        let arrivals = backend.server.arrivals();
+        let arrivals = backend.server.arrival_times();
         for (index, (named, limit)) in backend.limits.iter().enumerate() {
             let Some(limit) = limit else {
                 continue;
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -15,6 +15,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::RETRY_AFTER;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -143,6 +144,17 @@
     }
 }
 
+/// A request that arrived at a server, and how it asked for a pause.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Id of the request; empty if it has none.
+    pub id: String,
+    /// When it arrived.
+    pub at: Instant,
+    /// When the request was shed with a pause, and the length of the pause.
+    pub pause: Option<(Instant, Duration)>,
+}
+
 /// Stand-in for a backend server.
 pub struct Server {
     id: String,
@@ -154,7 +166,9 @@
     limit: Mutex<Option<f64>>,
     /// When it began to say that it is leaving.
     leaving: Mutex<Option<Instant>>,
-    arrivals: Mutex<Vec<Instant>>,
+    /// Pause that it asks for when it sheds a request.
+    pause: Mutex<Option<Duration>>,
+    arrivals: Mutex<Vec<Arrival>>,
     ledger: Arc<Ledger>,
 }
 
@@ -169,6 +183,7 @@
             behaviour: Mutex::default(),
             limit: Mutex::default(),
             leaving: Mutex::default(),
+            pause: Mutex::default(),
             arrivals: Mutex::default(),
             ledger,
         });
@@ -202,19 +217,54 @@
         *self.leaving.lock().expect("lock is not poisoned")
     }
 
-    /// Returns when requests arrived, refused ones included.
-    pub fn arrivals(&self) -> Vec<Instant> {
+    /// Sets the pause that it asks for when it sheds a request.
+    pub fn set_pause(&self, pause: Option<Duration>) {
+        *self.pause.lock().expect("lock is not poisoned") = pause;
+    }
+
+    /// Returns all requests that arrived, refused ones included.
+    pub fn arrivals(&self) -> Vec<Arrival> {
         let arrivals = self.arrivals.lock().expect("lock is not poisoned");
         arrivals.clone()
     }
 
+    /// Returns when requests arrived, refused ones included.
+    pub fn arrival_times(&self) -> Vec<Instant> {
+        let arrivals = self.arrivals();
+        arrivals.into_iter().map(|arrival| arrival.at).collect()
+    }
+
+    /// Records a request that arrived. Returns its index.
+    fn record_arrival(&self, headers: &HeaderMap) -> usize {
+        let mut arrivals = self.arrivals.lock().expect("lock is not poisoned");
+        arrivals.push(Arrival {
+            id: header(headers, REQUEST_ID).unwrap_or_default(),
+            at: Instant::now(),
+            pause: None,
+        });
+        arrivals.len() - 1
+    }
+
+    /// Asks for the pause that is set in a response that sheds the request with this index.
+    fn ask_for_pause(&self, response: &mut Response<Body>, arrival: usize) {
+        let pause = *self.pause.lock().expect("lock is not poisoned");
+        let sheds = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let Some(pause) = pause.filter(|_| sheds) else {
+            return;
+        };
+        let value = pause.as_secs_f64().to_string().parse();
+        let value = value.expect("a number is a valid header value");
+        response.headers_mut().insert(RETRY_AFTER, value);
+        let mut arrivals = self.arrivals.lock().expect("lock is not poisoned");
+        arrivals[arrival].pause = Some((Instant::now(), pause));
+    }
+
     /// Handles a request, and says in the response, whatever it is, what it says of itself.
     async fn respond(&self, request: Request<Incoming>) -> io::Result<Response<Body>> {
         let behaviour = *self.behaviour.lock().expect("lock is not poisoned");
-        let now = Instant::now();
-        let arrivals = self.arrivals.lock();
-        arrivals.expect("lock is not poisoned").push(now);
+        let arrival = self.record_arrival(request.headers());
         let mut response = self.handle(request, behaviour).await?;
+        self.ask_for_pause(&mut response, arrival);
         let limit = *self.limit.lock().expect("lock is not poisoned");
         if let Some(limit) = limit {
             let value = limit.to_string().parse();
