fix: a refusal is believed only for the request whose id it carries

Can happen here: a 421 was believed before its id was compared, and a refusal without an id at all; a 503 that is not marked as not executed was passed on. The next request on the connection then got the response to this one, since a response without a body gave the connection back to the pool at once. Change: what a response says of the execution counts only with the id of the request (proxy/claim.rs); 408, 429 and 503 without the mark are no answer. After a response that can't be believed the connection is closed, also if its body was read (ResponseBody::close).

--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -8,7 +8,6 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http_body_util::BodyExt;
 use wb_balance::AttemptOutcome;
 use wb_balance::Evidence;
@@ -24,12 +23,12 @@
 use wb_http::pool::ResponseBody;
 use wb_types::id::Moment;
 
+use super::claim::Claim;
 use super::leaving;
 use super::leaving::Receiver;
 use super::limit;
 use super::pause;
 use super::routed::RoutedRequest;
-use super::routed::header_text;
 use super::slot::Slot;
 use super::streamed::StreamedBody;
 use crate::Context;
@@ -305,13 +304,8 @@
 enum CheckedResponse {
     Buffered(Response<Bytes>),
     Streaming(PooledResponse, Bytes),
-    /// `echoed` tells whether the response carries a request id.
-    Shed {
-        echoed: bool,
-    },
-    Misdirected {
-        echoed: bool,
-    },
+    Shed,
+    Misdirected,
     Invalid(String),
 }
 
@@ -321,27 +315,18 @@
     routed: &RoutedRequest,
     response: PooledResponse,
 ) -> CheckedResponse {
-    let names = &context.headers;
+    let claim = Claim::of(context, routed, &response);
     let status = response.status();
-    let echoed = header_text(response.headers(), &names.request_id);
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return CheckedResponse::Misdirected {
-            echoed: echoed.is_some(),
-        };
-    }
-    if echoed.is_some_and(|echoed| echoed != routed.id) {
-        return CheckedResponse::Invalid("response carries another request id".to_owned());
-    }
-    if response.headers().contains_key(&names.not_executed) {
-        return CheckedResponse::Shed {
-            echoed: echoed.is_some(),
-        };
-    }
-    let signed = response.headers().contains_key(&names.signature);
-    if status.is_success() && (!signed || echoed.is_none()) {
-        return CheckedResponse::Invalid("success without request id or signature".to_owned());
-    }
     let (parts, mut stream) = response.into_parts();
+    match claim {
+        Claim::Answered => {}
+        Claim::Shed => return CheckedResponse::Shed,
+        Claim::Misdirected => return CheckedResponse::Misdirected,
+        Claim::Invalid(error) => {
+            stream.close();
+            return CheckedResponse::Invalid(error.to_owned());
+        }
+    }
     match read_prefix(&mut stream).await {
         Ok(Prefix::Whole(data)) => CheckedResponse::Buffered(Response::from_parts(parts, data)),
         Ok(Prefix::Part(data)) if status.is_success() => {
@@ -412,15 +397,14 @@
             let streamed = StreamedBody::new(prefix, stream, slot, took, remaining);
             Outcome::Response(Response::from_parts(parts, body::boxed(streamed)))
         }
-        CheckedResponse::Shed { echoed } => {
-            let error = format!("the server shed the request, id echoed: {echoed}");
-            log_failure(routed, &slot, "shed", &error);
+        CheckedResponse::Shed => {
+            log_failure(routed, &slot, "shed", "the server shed the request");
             slot.release(AttemptOutcome::Shed);
             not_executed("shed")
         }
-        CheckedResponse::Misdirected { echoed } => {
-            let error = format!("another server uses the address, id echoed: {echoed}");
-            log_failure(routed, &slot, "misdirected", &error);
+        CheckedResponse::Misdirected => {
+            let error = "another server uses the address";
+            log_failure(routed, &slot, "misdirected", error);
             slot.release(AttemptOutcome::Misdirected);
             not_executed("misdirected")
         }
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 //! - [`forward`]: attempts, retries and hedged attempts.
 //! - [`slot`]: slots at backend servers.
 //! - [`attempt`]: one attempt at one server.
+//! - [`claim`]: what the head of a response says about the request.
 //! - [`limit`]: what a response says about the limit of its server.
 //! - [`leaving`]: servers that say in a response that they are leaving.
 //! - [`pause`]: pauses that servers ask for when they turn a request away.
@@ -13,6 +14,7 @@
 //!   request.
 
 pub mod attempt;
+pub mod claim;
 pub mod forward;
 pub mod leaving;
 pub mod limit;
--- a/crates/wb-http/src/pool/response_body.rs
+++ b/crates/wb-http/src/pool/response_body.rs
@@ -11,12 +11,13 @@
 use http_body::Frame;
 use http_body::SizeHint;
 use hyper::body::Incoming;
+use tokio::runtime::Handle;
 
 use super::IdleConnection;
 use super::Pool;
 
-/// Body of a response. Once it is read completely, its connection returns to the pool; when it is
-/// dropped before that, the connection is closed.
+/// Body of a response. When it is dropped after it was read completely, its connection returns to the
+/// pool; when it is dropped before that, the connection is closed.
 pub struct ResponseBody {
     body: Incoming,
     lease: Option<Lease>,
@@ -36,15 +37,17 @@
         connection: IdleConnection,
         pool: Pool,
     ) -> Self {
-        let mut response = Self {
+        Self {
             idle_time,
             body,
             lease: Some(Lease { connection, pool }),
-        };
-        if http_body::Body::is_end_stream(&response.body) {
-            response.release();
         }
-        response
+    }
+
+    /// Closes the connection, also if the body was read completely: what follows on it is not known to
+    /// belong to the next request.
+    pub fn close(mut self) {
+        self.lease = None;
     }
 
     /// Time that the connection was idle before this request, unless it was new.
@@ -66,7 +69,11 @@
             pool.put_idle(connection);
             return;
         }
-        tokio::spawn(async move {
+        // Without a runtime, the connection is closed.
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
+        runtime.spawn(async move {
             if connection.sender.ready().await.is_ok() {
                 connection.idle_since = Instant::now();
                 pool.put_idle(connection);
@@ -75,6 +82,14 @@
     }
 }
 
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        if http_body::Body::is_end_stream(&self.body) {
+            self.release();
+        }
+    }
+}
+
 impl http_body::Body for ResponseBody {
     type Data = Bytes;
     type Error = hyper::Error;
