fix: the entry daemon believes a refusal on a kept connection only with the request's id

A refusal written once more on a kept connection made a request that had run count as not run, to be sent to a second server. Change: a response with another x-request-id is no answer and closes its connection; a refusal without one is believed on a new connection only, where no earlier request can have left one. Servers that repeat the x-request-id of the request, as the stand-in does now, lose nothing. Not shown on a running entry daemon.

--- a/crates/wb-entry/src/proxy/backend.rs
+++ b/crates/wb-entry/src/proxy/backend.rs
@@ -116,6 +116,12 @@
     if response.headers().contains_key(header::LEAVING) {
         report_leaving(inflight, &assignment.server);
     }
+    let reused = response.body().idle_time().is_some();
+    if !header::is_response_to(&inflight.info.id, response.headers(), reused) {
+        guard.finish(AttemptOutcome::Failure, None);
+        response.into_body().close();
+        return AttemptResult::Unknown(Reason::BrokenAnswer);
+    }
     if response.headers().contains_key(header::SHED) {
         guard.finish(AttemptOutcome::Shed, server_load);
         inflight
--- a/crates/wb-entry/src/proxy/header.rs
+++ b/crates/wb-entry/src/proxy/header.rs
@@ -47,6 +47,16 @@
     PEER_ADMITTED,
 ];
 
+/// Returns whether a response with these headers is to the request with this id. A faulty server may
+/// send a response twice, and the second copy may arrive where the response to the next request is
+/// expected. On a connection that was used before, a refusal is therefore believed only with the id.
+pub fn is_response_to(id: &str, headers: &HeaderMap, reused: bool) -> bool {
+    match text(headers, REQUEST_ID) {
+        Some(echoed) => echoed == id,
+        None => !(reused && headers.contains_key(SHED)),
+    }
+}
+
 /// Returns a header as text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/wb-stand/src/backend/handler.rs
+++ b/crates/wb-stand/src/backend/handler.rs
@@ -33,6 +33,8 @@
 use super::work;
 use crate::reply;
 
+/// Header with the id of a request, which responses repeat.
+const REQUEST_ID: &str = "x-request-id";
 /// Duration of a health check.
 const HEALTH_CHECK_TIME: Duration = Duration::from_millis(25);
 /// Warm-up time after a cold start.
@@ -122,7 +124,11 @@
             stats.requests += 1;
             stats.late += u64::from(faults.leaving);
         });
-        let response = self.queue_and_execute(request, &faults).await;
+        let id = request.headers().get(REQUEST_ID).cloned();
+        let mut response = self.queue_and_execute(request, &faults).await;
+        if let Some(id) = id {
+            response.headers_mut().insert(REQUEST_ID, id);
+        }
         self.add_status_headers(response, &faults)
     }
 
