test: heads that stop in the middle are no answers

Can't happen here: a head without its empty line is an error to the parser, and no body is made up for it. Nothing to fix.

--- a/crates/wb-http/tests/pool.rs
+++ b/crates/wb-http/tests/pool.rs
@@ -113,3 +113,60 @@
     tokio::task::yield_now().await;
     assert_eq!(pool.open_connections(address), 0);
 }
+
+/// Response heads that a server may stop in, each followed by a body.
+const HEADS: [&str; 4] = [
+    "HTTP/1.1 200 OK\r\ncontent-length: 10\r\nx-a: b\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-a: b\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+];
+
+/// Whether a server closes or resets a connection in the middle of a head.
+#[derive(Clone, Copy)]
+enum End {
+    Close,
+    Reset,
+}
+
+/// Sends the start of a response to one request, then ends the connection.
+async fn send_start(listener: &TcpListener, start: &[u8], end: End) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut head = [0; 1024];
+    let _ = stream.read(&mut head).await;
+    stream.write_all(start).await.expect("the daemon reads");
+    if let End::Reset = end {
+        // Lets the daemon read what was sent before the reset.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        stream.set_zero_linger().expect("the option is known");
+    }
+}
+
+#[tokio::test]
+async fn head_that_stops_in_the_middle_is_a_whole_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+    let address = listener.local_addr().expect("an address");
+    for head in HEADS {
+        for length in 0..head.len() {
+            for end in [End::Close, End::Reset] {
+                let pool = Pool::new(Default::default());
+                let start = &head.as_bytes()[..length];
+                let (read, ()) =
+                    tokio::join!(fetch(&pool, address), send_start(&listener, start, end));
+                assert!(read.is_err(), "{:?}: {read:?}", &head[..length]);
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn connection_of_a_response_that_is_not_believed_is_kept() {
+    let pool = Pool::new(Default::default());
+    let address = serve_bytes(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n").await;
+    let request = Request::new(body::empty());
+    let response = pool.send(address, OPTIONS, request).await;
+    let response = response.expect("the head is complete");
+    response.into_body().close();
+    tokio::task::yield_now().await;
+    assert_eq!(pool.open_connections(address), 0);
+}
