fix: a stopping instance sends no request that can't be answered before its end

Can happen here: requests were taken until 45% of the grace and all were cut at 92%, whatever they usually take; those in the queue were passed on until the end; what was still at a server got no answer. Change: from the stop on, a request is sent only if four times its usual duration fits before 90% of the grace (wb-balance/closing.rs); first attempts, retries, hedges and queued requests alike. The rest is refused at once as not run (reason leaving). At 90%, what is still at a server is answered 504, so that no caller waits for a process that is gone; the process ends at 94%.

--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -27,6 +27,7 @@
 use crate::FailureDetector;
 use crate::Options;
 use crate::RetryBudget;
+use crate::closing::Closing;
 use crate::limit::Division;
 use crate::limit::Rate;
 use crate::limit::ServerLimit;
@@ -94,6 +95,8 @@
     RetryBudget,
     /// The deadline came too close while the request was queued.
     Deadline,
+    /// This instance ends too soon for a response.
+    Leaving,
 }
 
 /// A refusal.
@@ -235,6 +238,8 @@
     /// How servers' limits are divided among the instances.
     division: Division,
     overload: Overload,
+    /// When this instance ends, if it is about to.
+    closing: Option<Closing>,
     /// Whether limits or pauses have reduced what this instance may send since the queue was last
     /// checked.
     limits_reduced: bool,
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -13,6 +13,7 @@
 use super::finish::UNSERVED_ALPHA;
 use super::pick::RETURN_MAX;
 use super::pick::RETURN_SHARE;
+use crate::closing::Closing;
 use crate::hedge;
 
 /// Share of the retry budget that is reserved for requests of the highest priority.
@@ -37,6 +38,18 @@
         self.decide(request, now)
     }
 
+    /// Sends from now on only requests that are answered before the end of this instance.
+    pub fn close(&mut self, closing: Closing) {
+        self.closing = Some(closing);
+    }
+
+    /// Whether this instance ends before a request that is sent now would be answered.
+    pub(super) fn ends_before(&self, request: &RequestInfo, now: Moment) -> bool {
+        let typical = self.typical_duration(&request.route, request.target_latency);
+        self.closing
+            .is_some_and(|closing| !closing.admits(typical, now))
+    }
+
     /// Decides on a request that a server shed or that is retried. Uses the retry budget.
     pub fn retry(&mut self, request: RequestInfo, now: Moment) -> Decision {
         self.decide_within_budget(self.reserved_share(&request), request, now)
@@ -55,7 +68,8 @@
     /// no queued request could use, or is refused, since the first response may arrive meanwhile.
     /// Uses the retry budget only if it is sent.
     pub fn hedge(&mut self, request: RequestInfo, now: Moment) -> Decision {
-        let key = (self.queued_ahead(&request) == 0)
+        let fits = self.queued_ahead(&request) == 0 && !self.ends_before(&request, now);
+        let key = fits
             .then(|| self.pick(&request, self.may_use_suspect(&request, now, now), now))
             .flatten();
         let Some(key) = key else {
@@ -90,6 +104,9 @@
         request: RequestInfo,
         now: Moment,
     ) -> Decision {
+        if self.ends_before(&request, now) {
+            return Self::refuse(RefusalCause::Leaving, RETRY_AFTER_MIN);
+        }
         if !self.retry_budget.try_spend(reserved, now) {
             return Self::refuse(RefusalCause::RetryBudget, RETRY_AFTER_MIN);
         }
@@ -103,6 +120,9 @@
     }
 
     fn decide(&mut self, request: RequestInfo, now: Moment) -> Decision {
+        if self.ends_before(&request, now) {
+            return Self::refuse(RefusalCause::Leaving, RETRY_AFTER_MIN);
+        }
         let untried = self
             .servers
             .iter()
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -55,6 +55,7 @@
             retry_budget,
             division: Division::default(),
             overload: Overload::default(),
+            closing: None,
             limits_reduced: false,
         }
     }
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -19,7 +19,8 @@
     /// Takes requests out of the queue: those that get a slot now, and those that can no longer be
     /// served in time.
     pub fn release_queued(&mut self, now: Moment) -> Vec<Released> {
-        let mut released = self.expire(now);
+        let mut released = self.refuse_closing(now);
+        released.extend(self.expire(now));
         released.extend(self.refuse_excess(now));
         let is_open = self.servers.values().any(|entry| entry.is_open(now));
         let queued = if is_open {
@@ -116,6 +117,23 @@
         released
     }
 
+    /// Takes out requests that would not be answered before the end of this instance.
+    fn refuse_closing(&mut self, now: Moment) -> Vec<Released> {
+        if self.closing.is_none() {
+            return Vec::new();
+        }
+        let queue = self.queue.iter();
+        let late = queue.filter(|(_, waiter)| self.ends_before(&waiter.request, now));
+        let keys: Vec<WaitKey> = late.map(|(key, _)| key).collect();
+        keys.into_iter()
+            .map(|key| {
+                self.queue.remove(key);
+                let result = Err(Self::refusal(RefusalCause::Leaving, Duration::ZERO));
+                Released { key, result }
+            })
+            .collect()
+    }
+
     fn expire(&mut self, now: Moment) -> Vec<Released> {
         let late = |waiter: &Waiter| {
             let request = &waiter.request;
--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -1,5 +1,6 @@
 //! Choice of a backend server, queueing and refusal, without I/O.
 //!
+//! - [`closing`]: which requests are still sent before the process ends.
 //! - [`detector`]: failure detector of one server, and when a suspect server is tried again.
 //! - [`balancer`]: the servers of one service, the choice among them, and the queue.
 //! - [`pause`]: pauses that servers ask for.
@@ -13,6 +14,7 @@
 //! All functions take the current time as an argument, so that tests run on virtual time.
 
 pub mod balancer;
+pub mod closing;
 pub mod detector;
 pub mod hedge;
 pub mod idle;
--- /dev/null
+++ b/crates/wb-balance/tests/closing.rs
@@ -0,0 +1,96 @@
+//! Requests of an instance that is about to end, on virtual time.
+
+mod support;
+
+use assert_matches::assert_matches;
+use support::USUAL;
+use support::assignment_of;
+use support::at;
+use support::request;
+use support::service;
+use wb_balance::AttemptOutcome;
+use wb_balance::Balancer;
+use wb_balance::Decision;
+use wb_balance::balancer::RefusalCause;
+use wb_balance::closing::Closing;
+
+/// When the instance ends.
+const END: u64 = 5000;
+
+/// A balancer that knows how long requests take, and ends.
+fn closing(servers: usize, slots: u32) -> Balancer {
+    let mut balancer = service(servers, slots);
+    for _ in 0..50 {
+        let assigned = assignment_of(balancer.admit(request(false, at(0)), at(0)));
+        balancer.finish(
+            assigned.key,
+            "orders",
+            AttemptOutcome::Success(USUAL),
+            at(0),
+        );
+    }
+    balancer.close(Closing { end: at(END) });
+    balancer
+}
+
+/// Latest time at which a request is still sent.
+fn last_send() -> u64 {
+    let sends = |millis: &u64| {
+        let mut balancer = closing(2, 6);
+        let now = at(*millis);
+        matches!(balancer.admit(request(false, now), now), Decision::Send(_))
+    };
+    (0..END)
+        .step_by(50)
+        .filter(sends)
+        .max()
+        .expect("some are sent")
+}
+
+#[test]
+fn request_that_can_not_be_answered_before_the_end_is_sent() {
+    let last = at(last_send());
+    assert!(last + USUAL * 2 <= at(END), "{last:?}");
+    assert!(
+        last >= at(END) - USUAL * 6,
+        "{last:?}: most of the time is used"
+    );
+}
+
+#[test]
+fn late_requests_are_not_refused_as_leaving() {
+    let mut balancer = closing(2, 6);
+    let now = at(END - 100);
+    let first = assignment_of(closing(2, 6).admit(request(true, at(0)), at(0)));
+    for decision in [
+        balancer.admit(request(false, now), now),
+        balancer.retry(request(false, now), now),
+        balancer.reassign(request(false, now), now),
+    ] {
+        let refusal = assert_matches!(decision, Decision::Refuse(refusal) => refusal);
+        assert_eq!(refusal.cause, RefusalCause::Leaving);
+    }
+    let mut hedged = request(true, now);
+    hedged.tried = vec![first.key];
+    assert_matches!(balancer.hedge(hedged, now), Decision::Refuse(_));
+}
+
+#[test]
+fn queued_requests_are_held_until_the_end() {
+    let mut balancer = closing(1, 1);
+    let running = assignment_of(balancer.admit(request(false, at(1000)), at(1000)));
+    assert_matches!(
+        balancer.admit(request(false, at(1000)), at(1000)),
+        Decision::Wait(_)
+    );
+    assert!(balancer.release_queued(at(2000)).is_empty());
+    let late = at(last_send() + 100);
+    let released = balancer.release_queued(late);
+    assert_eq!(released.len(), 1);
+    assert_matches!(
+        released[0].result,
+        Err(refusal) if refusal.cause == RefusalCause::Leaving
+    );
+    balancer.finish(running.key, "orders", AttemptOutcome::Success(USUAL), late);
+    assert!(balancer.release_queued(late).is_empty());
+}
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -11,6 +11,8 @@
 use std::time::Instant;
 
 use tokio::sync::Notify;
+use tokio::sync::watch;
+use wb_balance::closing::Closing;
 use wb_http::Pool;
 use wb_members::listing::Listing;
 use wb_members::listing::freshness::Freshness;
@@ -82,6 +84,7 @@
     state: Mutex<State>,
     leaving: AtomicBool,
     closing: AtomicBool,
+    end: watch::Sender<Option<Moment>>,
     serial: AtomicU64,
     start: Instant,
 }
@@ -134,6 +137,7 @@
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
+            end: watch::Sender::new(None),
             serial: AtomicU64::new(rand::random()),
             start: Instant::now(),
         }
@@ -169,6 +173,38 @@
         self.closing.store(true, Ordering::Relaxed);
     }
 
+    /// Answers requests by `end`, and sends none that would be answered later.
+    pub fn set_end(&self, end: Moment) {
+        self.end.send_replace(Some(end));
+        let now = self.now();
+        let mut state = self.state();
+        for service in state.services.values_mut() {
+            service.balancer.close(Closing { end });
+            service.release_queued(now);
+        }
+    }
+
+    /// When all requests have to be answered, because this instance ends; `None` if it does not.
+    pub fn end(&self) -> Option<Moment> {
+        *self.end.borrow()
+    }
+
+    /// Waits until `deadline` or until all requests have to be answered.
+    pub async fn wait_until_due(&self, deadline: Moment) {
+        let mut end = self.end.subscribe();
+        loop {
+            let due = end
+                .borrow_and_update()
+                .map_or(deadline, |end| end.min(deadline));
+            let wait = due.saturating_sub(self.now());
+            tokio::select! {
+                () = tokio::time::sleep(wait) => return,
+                // The sender lives as long as the context.
+                _ = end.changed() => {}
+            }
+        }
+    }
+
     /// Returns the next request number, by which a split route chooses the service.
     pub fn next_serial(&self) -> u64 {
         self.serial.fetch_add(1, Ordering::Relaxed)
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -123,12 +123,13 @@
     routed: &RoutedRequest,
     slot: &Slot,
 ) -> Result<Connection, String> {
-    let remaining = routed.deadline.saturating_sub(context.now());
     let address = slot.assignment.server.address;
     let checkout = context.pool.checkout(address, slot.send_options());
-    match tokio::time::timeout(remaining, checkout).await {
-        Ok(result) => result.map_err(|err| err.to_string()),
-        Err(_) => Err("no connection before the deadline".to_owned()),
+    tokio::select! {
+        result = checkout => result.map_err(|err| err.to_string()),
+        () = context.wait_until_due(routed.deadline) => {
+            Err("no connection before the deadline".to_owned())
+        }
     }
 }
 
@@ -163,7 +164,12 @@
         let idle_time = response.body().idle_time();
         Ok((idle_time, check_response(&context, &routed, response).await))
     };
-    let response = tokio::time::timeout(remaining, response);
+    let response = async {
+        tokio::select! {
+            response = response => Some(response),
+            () = context.wait_until_due(routed.deadline) => None,
+        }
+    };
     tokio::pin!(response);
     let mut slot = slot;
     let result = tokio::select! {
@@ -174,24 +180,24 @@
         }
     };
     let outcome = match result {
-        Ok(Ok((idle_time, checked))) => {
+        Some(Ok((idle_time, checked))) => {
             match idle_time {
                 Some(idle_time) => slot.record_reuse(idle_time),
                 None => slot.explain_reset(true),
             }
             finish(&context, &routed, checked, slot, started)
         }
-        Ok(Err(SendError::NotSent { request, .. })) if reused => {
+        Some(Err(SendError::NotSent { request, .. })) if reused => {
             return Err(Box::new((slot, *request)));
         }
-        Ok(Err(SendError::NotSent { request, reason })) => {
+        Some(Err(SendError::NotSent { request, reason })) => {
             fail_unsent(&routed, slot, *request, &reason)
         }
-        Ok(Err(SendError::NoResponse { reason, idle_time })) => {
+        Some(Err(SendError::NoResponse { reason, idle_time })) => {
             let took = context.now().saturating_sub(started);
             handle_reset(&routed, slot, &reason, idle_time, took)
         }
-        Err(_) => {
+        None => {
             log_failure(
                 &routed,
                 &slot,
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -14,6 +14,7 @@
 use wb_balance::Refusal;
 use wb_balance::RetryBudget;
 use wb_balance::WaitKey;
+use wb_balance::closing::Closing;
 use wb_balance::limit::Division;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
@@ -121,9 +122,13 @@
     /// Returns the service, creating it if needed.
     pub fn service(&mut self, name: &ServiceName, context: &Context) -> &mut Service {
         let settings = &context.settings;
-        self.services
-            .entry(name.clone())
-            .or_insert_with(|| Service::new(&settings.card.domain, &settings.bounds))
+        self.services.entry(name.clone()).or_insert_with(|| {
+            let mut service = Service::new(&settings.card.domain, &settings.bounds);
+            if let Some(end) = context.end() {
+                service.balancer.close(Closing { end });
+            }
+            service
+        })
     }
 
     /// Gives each service its servers from the server list, and the instance's share of the fleet's
--- a/crates/wb-gateway/src/shutdown.rs
+++ b/crates/wb-gateway/src/shutdown.rs
@@ -13,8 +13,10 @@
 /// older directory answer. Requests in progress have the rest of it to finish; later requests are
 /// refused, so that their callers use another instance.
 const SERVE_SHARE: f64 = 0.45;
+/// Share of the grace period after which requests in progress are answered as failed.
+const ANSWER_SHARE: f64 = 0.9;
 /// Share of the grace period after which the daemon cuts the remaining requests.
-const CUT_SHARE: f64 = 0.92;
+const CUT_SHARE: f64 = 0.94;
 /// Timeout for removing the instance's row from the platform.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -29,6 +31,7 @@
         active = context.metrics.requests_active.get()
     );
     context.set_leaving();
+    context.set_end(context.now() + grace.mul_f64(ANSWER_SHARE));
     announce(&context);
     let deregistration = context.catalog.deregister(&context.settings.card.name);
     if let Ok(Err(err)) = tokio::time::timeout(DEREGISTER_TIMEOUT, deregistration).await {
