test: the soak plays servers that say they are leaving and servers that ask for pauses

Checked from what callers and servers saw: an instance that has passed such a response on sends the server nothing two seconds later, and a server gets at most two requests of an instance between half a second after its pause was asked for and its end.

--- a/crates/wb-soak/src/caller.rs
+++ b/crates/wb-soak/src/caller.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http::HeaderMap;
 use http::Request;
 use http_body_util::BodyExt;
 use rand::seq::IndexedRandom;
@@ -19,6 +20,8 @@
 use wb_stand::published::fixtures;
 use wb_stand::published::server::DEADLINE;
 use wb_stand::published::server::REQUEST_ID;
+use wb_stand::published::server::SERVER_LEAVING;
+use wb_stand::published::server::SIGNATURE;
 use wb_stand::published::server::is_valid_response;
 
 use crate::testbed::Testbed;
@@ -45,6 +48,10 @@
     pub status: Option<u16>,
     /// Whether headers and body are those of a complete success response to this request.
     pub valid: bool,
+    /// Address of the instance that it was sent to.
+    pub instance: SocketAddr,
+    /// When the response was complete, and the server that says in it that it is leaving.
+    pub leaving: Option<(Instant, String)>,
 }
 
 /// Callers that send requests until they are stopped.
@@ -179,7 +186,8 @@
             let (head, body) = response.into_parts();
             let bytes = body.collect().await.ok()?.to_bytes();
             let valid = is_valid_response(&head.headers, &bytes, &id);
-            Some((head.status.as_u16(), valid))
+            let leaving = leaving_server(&head.headers).map(|server| (Instant::now(), server));
+            Some((head.status.as_u16(), valid, leaving))
         };
         let response = tokio::time::timeout(REQUEST_DEADLINE * 2, exchange)
             .await
@@ -189,8 +197,18 @@
             id,
             once,
             sent_at,
-            status: response.map(|(status, _)| status),
-            valid: response.is_some_and(|(_, valid)| valid),
+            status: response.as_ref().map(|(status, ..)| *status),
+            valid: response.as_ref().is_some_and(|(_, valid, _)| *valid),
+            instance: address,
+            leaving: response.and_then(|(.., leaving)| leaving),
         }
     }
 }
+
+/// The server of a response, if it says that it is leaving.
+fn leaving_server(headers: &HeaderMap) -> Option<String> {
+    headers.get(SERVER_LEAVING)?;
+    let signature = headers.get(SIGNATURE)?.to_str().ok()?;
+    let (server, _) = signature.split_once('.')?;
+    Some(server.to_owned())
+}
--- a/crates/wb-soak/src/check.rs
+++ b/crates/wb-soak/src/check.rs
@@ -1,12 +1,15 @@
 //! Checks the fleet's guarantees against what callers and backend servers recorded.
 
+use std::collections::HashMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::caller::CallerResult;
 use crate::faults::Fault;
 use crate::faults::INSTANCE_FAULTS;
+use crate::faults::STOPS;
 use crate::testbed::Testbed;
 
 /// Time after which a server that announced that it leaves must get no new requests, unless a fault
@@ -15,12 +18,18 @@
 /// Time after a fault in which the bound of `LEAVING_GRACE` is not checked.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Faults that don't excuse requests to a server that leaves.
-const HARMLESS: [&str; 4] = [
+const HARMLESS: [&str; 6] = [
     "configure",
     "server_joins",
     "server_leaves",
     "server_limits",
+    "server_says_leaving",
+    "server_pauses",
 ];
+/// Time after a server asked an instance for a pause from which requests of the instance count.
+const PAUSE_GRACE: Duration = Duration::from_millis(500);
+/// Requests of an instance that may reach a server in a pause.
+const PAUSE_REQUESTS_MAX: usize = 2;
 /// Window in which the requests to a server with a limit are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Ratio of the requests that are allowed in a window to what the limit allows.
@@ -82,6 +91,12 @@
     }
     violations.extend(check_leaving(testbed, faults));
     violations.extend(check_limits(testbed, faults));
+    let instances: HashMap<&str, SocketAddr> = results
+        .iter()
+        .map(|result| (result.id.as_str(), result.instance))
+        .collect();
+    violations.extend(check_statements(testbed, results, &instances, faults));
+    violations.extend(check_pauses(testbed, &instances, faults));
     violations.extend(check_recovery(results, faults_ended));
     let count = |accepts: fn(u16) -> bool| {
         let accepted = |result: &&CallerResult| result.status.is_some_and(accepts);
@@ -153,6 +168,82 @@
     violations
 }
 
+/// Checks that an instance that has passed on a response in which a server says that it is leaving
+/// sends the server nothing after `LEAVING_GRACE`, unless an instance was stopped.
+fn check_statements(
+    testbed: &Testbed,
+    results: &[CallerResult],
+    instances: &HashMap<&str, SocketAddr>,
+    faults: &[Fault],
+) -> Vec<String> {
+    let mut told: HashMap<(SocketAddr, &str), Instant> = HashMap::new();
+    for result in results {
+        if let Some((at, server)) = &result.leaving {
+            let first = told.entry((result.instance, server)).or_insert(*at);
+            *first = (*first).min(*at);
+        }
+    }
+    let mut violations = Vec::new();
+    for backend in &testbed.backends {
+        let server = backend.server.id();
+        for arrival in backend.server.arrivals() {
+            let instance = instances.get(arrival.id.as_str());
+            let told = instance.and_then(|instance| told.get(&(*instance, server)));
+            let late = told.is_some_and(|told| {
+                arrival.at > *told + LEAVING_GRACE
+                    && is_undisturbed(faults, |name| STOPS.contains(&name), *told, arrival.at)
+            });
+            if late {
+                violations.push(format!(
+                    "{}: reached server {server} after its instance had passed on that it leaves",
+                    arrival.id
+                ));
+            }
+        }
+    }
+    violations
+}
+
+/// Checks that a server gets next to nothing from an instance that it has asked for a pause, unless
+/// an instance was stopped, restarted or cut off.
+fn check_pauses(
+    testbed: &Testbed,
+    instances: &HashMap<&str, SocketAddr>,
+    faults: &[Fault],
+) -> Vec<String> {
+    let mut violations = Vec::new();
+    for backend in &testbed.backends {
+        let arrivals = backend.server.arrivals();
+        for asked in &arrivals {
+            let Some((at, length)) = asked.pause else {
+                continue;
+            };
+            let instance = instances.get(asked.id.as_str());
+            let in_pause = arrivals.iter().filter(|arrival| {
+                arrival.at > at + PAUSE_GRACE
+                    && arrival.at < at + length
+                    && instances.get(arrival.id.as_str()) == instance
+            });
+            let count = in_pause.count();
+            if instance.is_some()
+                && count > PAUSE_REQUESTS_MAX
+                && is_undisturbed(
+                    faults,
+                    |name| INSTANCE_FAULTS.contains(&name),
+                    at,
+                    at + length,
+                )
+            {
+                violations.push(format!(
+                    "server {} got {count} requests of an instance that it had asked for a pause of {length:?}",
+                    backend.server.id()
+                ));
+            }
+        }
+    }
+    violations
+}
+
 /// Whether no fault that `excuses` is one of was active in a span of time or less than `SETTLE_TIME`
 /// before it.
 fn is_undisturbed(
--- a/crates/wb-soak/src/faults.rs
+++ b/crates/wb-soak/src/faults.rs
@@ -60,7 +60,7 @@
 const LIMITS: [f64; 5] = [0.0, 0.4, 1.0, 3.0, 10.0];
 
 /// Names of the faults to draw from.
-const FAULTS: [&str; 15] = [
+const FAULTS: [&str; 17] = [
     "kill",
     "stop",
     "terminate",
@@ -76,10 +76,18 @@
     "configure",
     "store_restored",
     "server_limits",
+    "server_says_leaving",
+    "server_pauses",
 ];
 
 /// Faults of instances and their links.
 pub const INSTANCE_FAULTS: [&str; 5] = ["kill", "stop", "terminate", "kill_many", "store_cut"];
+/// Faults that stop the process of an instance for a while or for good.
+pub const STOPS: [&str; 4] = ["kill", "stop", "terminate", "kill_many"];
+/// Longest pause that servers ask for, in milliseconds.
+const PAUSE_ASKED_MAX_MS: u64 = 3000;
+/// Share of the requests that a server sheds while it asks for pauses.
+const PAUSE_SHED: f64 = 0.5;
 
 /// Injects random faults for `duration`, then ends them all and returns them.
 ///
@@ -143,9 +151,11 @@
             Repair::Resume(index) => testbed.signal(index, Signal::CONT),
             Repair::Launch(index) => testbed.launch(index)?,
             Repair::OpenServerLink(index) => testbed.backends[index].link.set_link(Link::Open),
-            Repair::RestoreServer(index) => testbed.backends[index]
-                .server
-                .set_behaviour(healthy_behaviour()),
+            Repair::RestoreServer(index) => {
+                let server = &testbed.backends[index].server;
+                server.set_behaviour(healthy_behaviour());
+                server.set_pause(None);
+            }
             Repair::OpenStoreLink(index) => {
                 testbed.instances[index].store_link.set_link(Link::Open)
             }
@@ -227,6 +237,22 @@
             testbed.set_limit(backend, Some(limit));
             Repair::LiftLimit(backend)
         }
+        "server_says_leaving" => {
+            if is_spare(testbed, backend) {
+                testbed.backends[backend].server.set_leaving();
+            }
+            Repair::None
+        }
+        "server_pauses" => {
+            let pause = Duration::from_millis(rng.random_range(0..PAUSE_ASKED_MAX_MS));
+            let server = &testbed.backends[backend].server;
+            server.set_pause(Some(pause));
+            server.set_behaviour(Behaviour {
+                shed: PAUSE_SHED,
+                ..healthy_behaviour()
+            });
+            Repair::RestoreServer(backend)
+        }
         _ => {
             testbed.write_config();
             Repair::None
@@ -239,14 +265,19 @@
     Repair::RestoreStore
 }
 
-/// Marks a server as leaving, unless its service has at most two servers that aren't leaving.
-fn mark_leaving(testbed: &mut Testbed, index: usize) {
+/// Whether the service of a server has at least two others that aren't leaving.
+fn is_spare(testbed: &Testbed, index: usize) -> bool {
     let service = testbed.backends[index].service;
     let servers = testbed
         .backends
         .iter()
         .filter(|backend| backend.service == service);
-    if servers.filter(|b| b.leaving_since.is_none()).count() > 2 {
+    servers.filter(|backend| !backend.is_leaving()).count() > 2
+}
+
+/// Marks a server as leaving in its row, unless too few others are left.
+fn mark_leaving(testbed: &mut Testbed, index: usize) {
+    if is_spare(testbed, index) {
         testbed.write_server_row(index, "draining");
     }
 }
--- a/crates/wb-soak/src/testbed.rs
+++ b/crates/wb-soak/src/testbed.rs
@@ -75,6 +75,13 @@
     pub limits: Vec<(Instant, Option<f64>)>,
 }
 
+impl Backend {
+    /// Whether it has announced that it leaves, in its row or in its responses.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some() || self.server.leaving_since().is_some()
+    }
+}
+
 /// A gateway instance and its link to the store.
 pub struct Instance {
     /// IP address of the instance.
