fix: a stopping instance sends no request that often takes longer than the rest of the grace

After a request was sent in the grace if four times its usual duration fitted. By the users' sheets three in a hundred requests take seven times as long as usual: such an order, sent late, was given up at 90% of the grace (504) while its server was at work. Change: eight times the usual duration has to fit, or the request's deadline. Refused requests are not run, and their callers go to another instance at once.

--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -47,7 +47,7 @@
     pub(super) fn ends_before(&self, request: &RequestInfo, now: Moment) -> bool {
         let typical = self.typical_duration(&request.route, request.target_latency);
         self.closing
-            .is_some_and(|closing| !closing.admits(typical, now))
+            .is_some_and(|closing| !closing.admits(typical, request.deadline, now))
     }
 
     /// Decides on a request that a server shed or that is retried. Uses the retry budget.
--- a/crates/wb-balance/src/closing.rs
+++ b/crates/wb-balance/src/closing.rs
@@ -7,8 +7,9 @@
 
 use wb_types::id::Moment;
 
-/// Typical durations that have to remain before the end: one in some hundred requests takes longer.
-const DURATIONS: u32 = 4;
+/// Typical durations that have to remain before the end. By the users' sheets, three in a hundred
+/// requests take seven times as long as usual.
+const DURATIONS: u32 = 8;
 
 /// The end of an instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -18,8 +19,9 @@
 }
 
 impl Closing {
-    /// Whether a request that usually takes `typical` would be answered in time if it were sent now.
-    pub fn admits(&self, typical: Duration, now: Moment) -> bool {
-        now + typical * DURATIONS <= self.end
+    /// Whether a request that usually takes `typical`, and ends by `deadline` in any case, would be
+    /// answered in time if it were sent now.
+    pub fn admits(&self, typical: Duration, deadline: Moment, now: Moment) -> bool {
+        deadline.min(now + typical * DURATIONS) <= self.end
     }
 }
