fix: queued requests are refused at once when no server is left for them

New requests were refused at once, but those in the queue waited until their deadline for servers that had all begun to leave or had left. Change: when the queue is worked on, which each change of the list causes, and no server is usable, all of it is refused as not run (reason no_server). The three ways to empty the queue share one function now. Failed before: queued_request_is_held_though_the_last_server_is_leaving, ..._is_gone.

--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -8,6 +8,7 @@
 use super::RefusalCause;
 use super::Released;
 use super::RequestInfo;
+use super::ServerEntry;
 use super::WaitKey;
 use super::Waiter;
 
@@ -20,6 +21,7 @@
     /// served in time.
     pub fn release_queued(&mut self, now: Moment) -> Vec<Released> {
         let mut released = self.refuse_closing(now);
+        released.extend(self.refuse_unservable());
         released.extend(self.expire(now));
         released.extend(self.refuse_excess(now));
         let is_open = self.servers.values().any(|entry| entry.is_open(now));
@@ -122,37 +124,42 @@
         if self.closing.is_none() {
             return Vec::new();
         }
-        let queue = self.queue.iter();
-        let late = queue.filter(|(_, waiter)| self.ends_before(&waiter.request, now));
-        let keys: Vec<WaitKey> = late.map(|(key, _)| key).collect();
-        keys.into_iter()
-            .map(|key| {
-                self.queue.remove(key);
-                let result = Err(Self::refusal(RefusalCause::Leaving, Duration::ZERO));
-                Released { key, result }
-            })
-            .collect()
+        self.refuse_if(RefusalCause::Leaving, |balancer, waiter| {
+            balancer.ends_before(&waiter.request, now)
+        })
+    }
+
+    /// Takes out all requests if no server is left for them.
+    fn refuse_unservable(&mut self) -> Vec<Released> {
+        if self.servers.values().any(ServerEntry::is_usable) {
+            return Vec::new();
+        }
+        self.refuse_if(RefusalCause::NoServer, |_, _| true)
     }
 
     fn expire(&mut self, now: Moment) -> Vec<Released> {
-        let late = |waiter: &Waiter| {
+        self.refuse_if(RefusalCause::Deadline, |balancer, waiter| {
             let request = &waiter.request;
-            let half = self.typical_duration(&request.route, request.target_latency) / 2;
+            let half = balancer.typical_duration(&request.route, request.target_latency) / 2;
             now + half > request.deadline
+        })
+    }
+
+    /// Takes out the requests for which `hopeless` holds.
+    fn refuse_if(
+        &mut self,
+        cause: RefusalCause,
+        hopeless: impl Fn(&Self, &Waiter) -> bool,
+    ) -> Vec<Released> {
+        let queue = self.queue.iter();
+        let hopeless = queue.filter(|(_, waiter)| hopeless(self, waiter));
+        let keys: Vec<WaitKey> = hopeless.map(|(key, _)| key).collect();
+        let refuse = |key| {
+            self.queue.remove(key);
+            let result = Err(Self::refusal(cause, Duration::ZERO));
+            Released { key, result }
         };
-        let keys: Vec<WaitKey> = self
-            .queue
-            .iter()
-            .filter(|(_, waiter)| late(waiter))
-            .map(|(key, _)| key)
-            .collect();
-        keys.into_iter()
-            .map(|key| {
-                self.queue.remove(key);
-                let result = Err(Self::refusal(RefusalCause::Deadline, Duration::ZERO));
-                Released { key, result }
-            })
-            .collect()
+        keys.into_iter().map(refuse).collect()
     }
 
     /// Drops a queued request whose caller disconnected.
--- a/crates/wb-balance/tests/withdrawn.rs
+++ b/crates/wb-balance/tests/withdrawn.rs
@@ -2,12 +2,16 @@
 
 mod support;
 
+use assert_matches::assert_matches;
 use support::assignment_of;
 use support::at;
 use support::listed;
 use support::request;
 use support::service;
 use wb_balance::AttemptOutcome;
+use wb_balance::Decision;
+use wb_balance::ListedServer;
+use wb_balance::balancer::RefusalCause;
 use wb_types::roster::Lifecycle;
 
 #[test]
@@ -37,3 +41,27 @@
     balancer.update(&[listed("s1", "a", 6)], at(100));
     assert!(!balancer.may_send(assigned.key, at(100)));
 }
+
+macro_rules! emptied_lists {
+    ($($name:ident: $change:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            let mut balancer = service(1, 1);
+            assignment_of(balancer.admit(request(false, at(0)), at(0)));
+            assert_matches!(balancer.admit(request(false, at(0)), at(0)), Decision::Wait(_));
+            let change: fn(&mut Vec<ListedServer>) = $change;
+            let mut list = vec![listed("s0", "a", 1)];
+            change(&mut list);
+            balancer.update(&list, at(100));
+            let released = balancer.release_queued(at(100));
+            assert_eq!(released.len(), 1);
+            let refusal = assert_matches!(released[0].result, Err(refusal) => refusal);
+            assert_eq!(refusal.cause, RefusalCause::NoServer);
+        }
+    )+};
+}
+
+emptied_lists! {
+    queued_request_is_held_though_the_last_server_is_leaving: |list| list[0].server.lifecycle = Lifecycle::Leaving;
+    queued_request_is_held_though_the_last_server_is_gone: |list| list.clear();
+}
