fix: a server whose row was missing for a while keeps its pause

A row may lapse while its server goes on, for example when the server is cut from the store. Once it was listed again, nothing was known of the pause that it had asked for, and it got requests in it. Change: the balancer remembers the pauses of servers that are not listed until they end, and applies them if the same server comes back at the same address. Failed before: server_whose_row_was_missing_is_sent_requests_in_its_pause (6 of 6 requests).

--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -32,6 +32,7 @@
 use crate::limit::Rate;
 use crate::limit::ServerLimit;
 use crate::overload::Overload;
+use crate::pause::MissingServers;
 
 pub use offer::RETRY_AFTER_MIN;
 pub use update::ListedServer;
@@ -240,6 +241,7 @@
     overload: Overload,
     /// When this instance ends, if it is about to.
     closing: Option<Closing>,
+    missing_servers: MissingServers,
     /// Whether limits or pauses have reduced what this instance may send since the queue was last
     /// checked.
     limits_reduced: bool,
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -17,6 +17,7 @@
 use crate::limit::Division;
 use crate::limit::ServerLimit;
 use crate::overload::Overload;
+use crate::pause::MissingServers;
 
 /// Failure rate that is assumed before any send: nothing is known of any server.
 const INITIAL_FAILURE_RATE: f64 = 0.15;
@@ -56,6 +57,7 @@
             division: Division::default(),
             overload: Overload::default(),
             closing: None,
+            missing_servers: MissingServers::default(),
             limits_reduced: false,
         }
     }
@@ -70,8 +72,10 @@
             .cloned()
             .collect();
         for name in gone {
-            if let Some(key) = self.keys.remove(&name) {
-                self.servers.remove(key);
+            let key = self.keys.remove(&name);
+            if let Some(entry) = key.and_then(|key| self.servers.remove(key)) {
+                self.missing_servers
+                    .insert(&entry.server, entry.paused_until, now);
             }
         }
         for one in listed {
@@ -90,6 +94,7 @@
             entry.server = listed.server.clone();
             return;
         }
+        let paused_until = self.missing_servers.remove(&listed.server);
         let key = self.servers.insert(ServerEntry {
             server: listed.server.clone(),
             detector: FailureDetector::default(),
@@ -102,7 +107,7 @@
             warm_at: now + listed.warmup,
             misdirected: false,
             limit: ServerLimit::default(),
-            paused_until: Moment::ZERO,
+            paused_until: paused_until.unwrap_or_default(),
         });
         self.keys.insert(listed.server.name.clone(), key);
     }
--- a/crates/wb-balance/src/pause.rs
+++ b/crates/wb-balance/src/pause.rs
@@ -3,9 +3,13 @@
 //! A server that turns a request away may say for how long it wants nothing more from this instance.
 //! It is not sick, and other instances may still send to it.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use wb_types::id::Moment;
+use wb_types::id::ServerName;
+use wb_types::roster::Server;
 
 use crate::limit::Rate;
 
@@ -43,6 +47,28 @@
     valid.then(|| Duration::from_secs_f64(seconds.min(PAUSE_MAX.as_secs_f64())))
 }
 
+/// Pauses of servers whose rows are missing: a row may lapse while its server goes on.
+#[derive(Clone, Debug, Default)]
+pub struct MissingServers(HashMap<ServerName, (SocketAddr, Moment)>);
+
+impl MissingServers {
+    /// Remembers until when a server wants nothing.
+    pub fn insert(&mut self, server: &Server, until: Moment, now: Moment) {
+        self.0.retain(|_, (_, until)| now < *until);
+        if now < until {
+            let address = server.address;
+            self.0.insert(server.name.clone(), (address, until));
+        }
+    }
+
+    /// Forgets a server that is listed again. Returns until when it wants nothing; `None` if it wanted no
+    /// pause or has another address.
+    pub fn remove(&mut self, server: &Server) -> Option<Moment> {
+        let (address, until) = self.0.remove(&server.name)?;
+        (address == server.address).then_some(until)
+    }
+}
+
 /// Capacity that is available from a moment on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Capacity {
--- a/crates/wb-balance/tests/pause.rs
+++ b/crates/wb-balance/tests/pause.rs
@@ -8,6 +8,7 @@
 use support::USUAL;
 use support::assignment_of;
 use support::at;
+use support::listed;
 use support::request;
 use support::service;
 use wb_balance::AttemptOutcome;
@@ -162,6 +163,30 @@
     assert_matches!(released[0].result, Err(_));
 }
 
+/// Requests that reach a server in its pause of two seconds, if its row is missing for a while and then
+/// names this address.
+fn sends_after_missing_row(address: &str) -> usize {
+    let mut balancer = service(1, 6);
+    shed(&mut balancer, at(2000), at(0));
+    balancer.update(&[], at(100));
+    let mut again = listed("s0", "a", 6);
+    again.server.address = address.parse().expect("an address");
+    balancer.update(&[again], at(200));
+    let sends = |millis: &u64| {
+        let now = at(*millis);
+        let decision = balancer.admit(request(false, now), now);
+        matches!(decision, Decision::Send(_))
+    };
+    (200..2000).step_by(300).filter(sends).count()
+}
+
+#[test]
+fn server_whose_row_was_missing_is_sent_requests_in_its_pause() {
+    let address = listed("s0", "a", 6).server.address.to_string();
+    assert_eq!(sends_after_missing_row(&address), 0);
+    assert_ne!(sends_after_missing_row("10.0.0.2:80"), 0);
+}
+
 macro_rules! wait_tests {
     ($($name:ident: $ahead:expr, $capacities:expr => $want:expr;)+) => {$(
         #[test]
