--- a/crates/wb-soak/tests/soak.rs
+++ b/crates/wb-soak/tests/soak.rs
@@ -23,4 +23,6 @@
     seed_1: 1, 4, 4, 6;
     // Servers got more than their limits, which the gateway did not read.
     seed_5: 5, 6, 5, 15;
+    // Servers that had said in responses that they were leaving, or had asked for a pause, were used.
+    seed_6001: 6001, 6, 5, 15;
 }
