--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -152,18 +152,7 @@
     );
     let overdue = routed.latency_threshold(&context, OVERDUE_FACTOR, OVERDUE_MIN);
     let overdue = (started + overdue).saturating_sub(context.now());
-    let server = slot.assignment.key;
-    let receiver = Receiver::of(&slot);
-    let response = async {
-        let sent = context.now();
-        let response = connection.send(request).await?;
-        limit::observe(&context, &routed, server, response.headers(), sent);
-        leaving::observe(&context, &routed, &receiver, &response);
-        let status = response.status();
-        pause::observe(&context, &routed, server, status, response.headers());
-        let idle_time = response.body().idle_time();
-        Ok((idle_time, check_response(&context, &routed, response).await))
-    };
+    let response = receive(&context, &routed, Receiver::of(&slot), connection, request);
     let response = async {
         tokio::select! {
             response = response => Some(response),
@@ -211,6 +200,25 @@
     Ok(outcome)
 }
 
+/// Sends a request, and records what the response says about its server. Returns the response, and how
+/// long the connection was idle before.
+async fn receive(
+    context: &Context,
+    routed: &RoutedRequest,
+    receiver: Receiver,
+    connection: Connection,
+    request: Request<Body>,
+) -> Result<(Option<Duration>, CheckedResponse), SendError> {
+    let sent = context.now();
+    let response = connection.send(request).await?;
+    let headers = response.headers();
+    limit::observe(context, routed, receiver.key, headers, sent);
+    leaving::observe(context, routed, &receiver, &response);
+    pause::observe(context, routed, receiver.key, response.status(), headers);
+    let idle_time = response.body().idle_time();
+    Ok((idle_time, check_response(context, routed, response).await))
+}
+
 /// Ends an attempt of which no byte was sent.
 fn fail_unsent(
     routed: &RoutedRequest,
--- a/crates/wb-gateway/src/proxy/leaving.rs
+++ b/crates/wb-gateway/src/proxy/leaving.rs
@@ -3,6 +3,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::StatusCode;
+use wb_balance::ServerKey;
 use wb_event::Event;
 use wb_event::line;
 use wb_http::pool::PooledResponse;
@@ -20,6 +21,8 @@
 
 /// Backend server to which a request was sent.
 pub struct Receiver {
+    /// Key of the server in its balancer.
+    pub key: ServerKey,
     server: ServerName,
     lifetime: Option<Lifetime>,
 }
@@ -28,6 +31,7 @@
     /// The server of a slot.
     pub fn of(slot: &Slot) -> Self {
         Self {
+            key: slot.assignment.key,
             server: slot.assignment.server.name.clone(),
             lifetime: slot.lifetime,
         }
@@ -52,8 +56,8 @@
     if is_other || response.status() == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    let Receiver { server, lifetime } = receiver;
-    let Some(lifetime) = *lifetime else {
+    let server = &receiver.server;
+    let Some(lifetime) = receiver.lifetime else {
         return;
     };
     let now = context.now();
