test: running entry daemons meet refusals of earlier requests

The backend stand-in can now run a request and answer it with the refusal of an earlier one, and the scenario repeated-refusal plays that on two servers of a running fleet: 96 orders, 100 lookups. With an entry daemon that compares no ids (scratch edit) it fails, "run twice 2".

--- a/crates/wb-load/src/scenario/step.rs
+++ b/crates/wb-load/src/scenario/step.rs
@@ -139,6 +139,7 @@
             silent: arguments.has("silent"),
             cut: fraction(arguments, "cut")?,
             leaving: arguments.has("leaving"),
+            repeat: fraction(arguments, "repeat")?,
             ..ServerFaults::default()
         };
         let server = server(arguments)?;
--- a/crates/wb-load/tests/processes.rs
+++ b/crates/wb-load/tests/processes.rs
@@ -70,6 +70,7 @@
     leaving_server: "leaving.txt",
     one_way_link: "one-way.txt",
     queued_upload: "queued-upload.txt",
+    refusal_of_an_earlier_request_is_believed: "repeated-refusal.txt",
     table_edits: "table.txt",
     whole_answer: "whole-answer.txt",
 }
--- a/crates/wb-stand/src/backend/handler.rs
+++ b/crates/wb-stand/src/backend/handler.rs
@@ -11,6 +11,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -35,6 +36,8 @@
 
 /// Header with the id of a request, which responses repeat.
 const REQUEST_ID: &str = "x-request-id";
+/// Id in the refusal of an earlier request, which no request of a test has.
+const EARLIER_REQUEST: HeaderValue = HeaderValue::from_static("earlier");
 /// Duration of a health check.
 const HEALTH_CHECK_TIME: Duration = Duration::from_millis(25);
 /// Warm-up time after a cold start.
@@ -127,7 +130,7 @@
         let id = request.headers().get(REQUEST_ID).cloned();
         let mut response = self.queue_and_execute(request, &faults).await;
         if let Some(id) = id {
-            response.headers_mut().insert(REQUEST_ID, id);
+            response.headers_mut().entry(REQUEST_ID).or_insert(id);
         }
         self.add_status_headers(response, &faults)
     }
@@ -159,6 +162,13 @@
             futures::future::pending::<()>().await;
         }
         let response = self.execute(&parts, incoming, faults).await;
+        let response = if rand::random::<f64>() < faults.repeat {
+            let mut refusal = self.shed();
+            refusal.headers_mut().insert(REQUEST_ID, EARLIER_REQUEST);
+            refusal
+        } else {
+            response
+        };
         drop(permit);
         let took = started.elapsed().as_micros() as u64;
         self.update_stats(|stats| stats.busy_us += took);
--- a/crates/wb-stand/src/backend/mod.rs
+++ b/crates/wb-stand/src/backend/mod.rs
@@ -41,6 +41,9 @@
     pub cold: f64,
     /// Limit of waiting requests, as a multiple of the slots; further ones are shed.
     pub backlog: u32,
+    /// Fraction of requests that are executed and answered with the refusal of an earlier request,
+    /// 0 to 1.
+    pub repeat: f64,
 }
 
 impl Default for ServerFaults {
@@ -54,6 +57,7 @@
             leaving: false,
             cold: 1.0,
             backlog: 10,
+            repeat: 0.0,
         }
     }
 }
