--- a/crates/wb-members/tests/listing.rs
+++ b/crates/wb-members/tests/listing.rs
@@ -111,6 +111,17 @@
     assert!(!holds(&listing, "s1"));
 }
 
+#[test]
+fn server_that_has_left_is_kept_by_an_instance_whose_calls_failed_alone() {
+    let mut listing = listing(&["s1", "s2"]);
+    listing.record_failure(at(5000), at(5000));
+    listing.apply(11, vec![removed(11, "s1")], at(5500));
+    assert!(holds(&listing, "s1"), "it may register again");
+    // An instance whose calls did not fail knows better.
+    listing.apply_update(update(10, 11, vec![removed(11, "s1")]), at(5600));
+    assert!(!holds(&listing, "s1"));
+}
+
 #[test]
 fn disconnected_instance_drops_removed_servers_without_a_further_response() {
     let mut listing = listing(&["s1", "s2"]);
