test: the soak plays planned work alone, and excuses an instance only by its own faults

Any fault of any instance suspended the bound on leaving servers for three seconds, while parts of updates are lost mostly beside one; no check looked at requests that were passed on and not answered; callers left a stopping instance with the next directory answer; a terminated instance was started before it had exited, and then stayed down. Change: a fault names its instances and servers, and excuses requests of these instances, or at these servers, alone; the store's faults excuse as before. Every second caller uses its addresses and connections until they fail. A process is started again once the old one has exited.

--- a/crates/wb-soak/src/caller.rs
+++ b/crates/wb-soak/src/caller.rs
@@ -28,10 +28,10 @@
 
 /// Number of callers that send concurrently.
 const CALLERS: usize = 16;
-/// Deadline that callers send with a request. They give up after twice this time.
-const REQUEST_DEADLINE: Duration = Duration::from_millis(3000);
 /// Timeout of a directory lookup.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(1);
+/// One in this many callers looks addresses up again only when all that it has have failed it.
+const STICKY_EVERY: usize = 2;
 /// Pause of a caller between two requests.
 const REQUEST_PAUSE: Duration = Duration::from_millis(40);
 
@@ -44,6 +44,8 @@
     pub once: bool,
     /// When the request was sent.
     pub sent_at: Instant,
+    /// When the response was complete or had failed.
+    pub ended_at: Instant,
     /// Status of the response; `None` if no complete response arrived.
     pub status: Option<u16>,
     /// Whether headers and body are those of a complete success response to this request.
@@ -78,6 +80,8 @@
                 directories: directories.clone(),
                 addresses: Vec::new(),
                 valid_until: Instant::now(),
+                deadline: testbed.options.deadline(),
+                sticky: index % STICKY_EVERY == 0,
             };
             tokio::spawn(caller.run(stop.clone(), results.clone()))
         });
@@ -108,6 +112,10 @@
     addresses: Vec<SocketAddr>,
     /// When the TTL of the last lookup ends.
     valid_until: Instant,
+    /// Deadline of the requests. The caller gives up after twice this time.
+    deadline: Duration,
+    /// Whether addresses and open connections are used until they fail, whatever the TTL.
+    sticky: bool,
 }
 
 impl Caller {
@@ -132,7 +140,8 @@
 
     /// Looks the addresses up again when their TTL has expired or all of them have failed.
     async fn resolve(&mut self) {
-        if !self.addresses.is_empty() && Instant::now() < self.valid_until {
+        let valid = self.sticky || Instant::now() < self.valid_until;
+        if !self.addresses.is_empty() && valid {
             return;
         }
         for _ in 0..3 {
@@ -176,7 +185,7 @@
             .uri(path)
             .header("host", "site.example")
             .header(REQUEST_ID, &id)
-            .header(DEADLINE, REQUEST_DEADLINE.as_millis() as u64)
+            .header(DEADLINE, self.deadline.as_millis() as u64)
             .body(body::full(if once { vec![1; 300] } else { Vec::new() }))
             .expect("the request is valid");
         let sent_at = Instant::now();
@@ -189,7 +198,7 @@
             let leaving = leaving_server(&head.headers).map(|server| (Instant::now(), server));
             Some((head.status.as_u16(), valid, leaving))
         };
-        let response = tokio::time::timeout(REQUEST_DEADLINE * 2, exchange)
+        let response = tokio::time::timeout(self.deadline * 2, exchange)
             .await
             .ok()
             .flatten();
@@ -197,6 +206,7 @@
             id,
             once,
             sent_at,
+            ended_at: Instant::now(),
             status: response.as_ref().map(|(status, ..)| *status),
             valid: response.as_ref().is_some_and(|(_, valid, _)| *valid),
             instance: address,
--- a/crates/wb-soak/src/check.rs
+++ b/crates/wb-soak/src/check.rs
@@ -2,29 +2,26 @@
 
 use std::collections::HashMap;
 use std::fmt;
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::caller::CallerResult;
 use crate::faults::Fault;
 use crate::faults::INSTANCE_FAULTS;
+use crate::faults::PLANNED;
 use crate::faults::STOPS;
 use crate::testbed::Testbed;
 
-/// Time after which a server that announced that it leaves must get no new requests, unless a fault
-/// is active.
+/// Time after which a server that announced that it leaves must get no new requests.
 const LEAVING_GRACE: Duration = Duration::from_secs(2);
-/// Time after a fault in which the bound of `LEAVING_GRACE` is not checked.
+/// Time after a fault for which it still excuses what it excuses.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
-/// Faults that don't excuse requests to a server that leaves.
-const HARMLESS: [&str; 6] = [
-    "configure",
-    "server_joins",
-    "server_leaves",
-    "server_limits",
-    "server_says_leaving",
-    "server_pauses",
+/// Faults of the store, whose acknowledgements bind nobody meanwhile.
+const STORE_FAULTS: [&str; 4] = [
+    "store_unavailable",
+    "store_hangs",
+    "store_loses_responses",
+    "store_restored",
 ];
 /// Time after a server asked an instance for a pause from which requests of the instance count.
 const PAUSE_GRACE: Duration = Duration::from_millis(500);
@@ -89,14 +86,12 @@
     for result in results {
         violations.extend(check_request(testbed, result));
     }
-    violations.extend(check_leaving(testbed, faults));
+    let senders = senders(testbed, results);
+    violations.extend(check_leaving(testbed, &senders, faults));
     violations.extend(check_limits(testbed, faults));
-    let instances: HashMap<&str, SocketAddr> = results
-        .iter()
-        .map(|result| (result.id.as_str(), result.instance))
-        .collect();
-    violations.extend(check_statements(testbed, results, &instances, faults));
-    violations.extend(check_pauses(testbed, &instances, faults));
+    violations.extend(check_statements(testbed, results, &senders, faults));
+    violations.extend(check_pauses(testbed, &senders, faults));
+    violations.extend(check_answers(testbed, results, faults));
     violations.extend(check_recovery(results, faults_ended));
     let count = |accepts: fn(u16) -> bool| {
         let accepted = |result: &&CallerResult| result.status.is_some_and(accepts);
@@ -139,22 +134,41 @@
     })
 }
 
-/// Checks that a leaving server gets no new requests after `LEAVING_GRACE`, unless a harmful
-/// fault was active between its announcement and the request, or less than `SETTLE_TIME` before the
-/// announcement.
-fn check_leaving(testbed: &Testbed, faults: &[Fault]) -> Vec<String> {
+/// Index of the instance to which each request was sent.
+type Senders<'a> = HashMap<&'a str, usize>;
+
+fn senders<'a>(testbed: &Testbed, results: &'a [CallerResult]) -> Senders<'a> {
+    let instances = testbed.instances.iter().enumerate();
+    let indexes: HashMap<_, usize> = instances
+        .map(|(index, instance)| (instance.ip, index))
+        .collect();
+    let sender = |result: &'a CallerResult| {
+        let index = indexes.get(&result.instance.ip())?;
+        Some((result.id.as_str(), *index))
+    };
+    results.iter().filter_map(sender).collect()
+}
+
+/// Checks that a leaving server gets no new requests after `LEAVING_GRACE`, unless the store, the
+/// instance that sent the request or its link to the server was disturbed.
+fn check_leaving(testbed: &Testbed, senders: &Senders<'_>, faults: &[Fault]) -> Vec<String> {
     let mut violations = Vec::new();
-    let is_harmful = |name: &str| !HARMLESS.contains(&name);
     let runs = testbed.ledger.all();
-    for backend in &testbed.backends {
+    for (index, backend) in testbed.backends.iter().enumerate() {
         let Some(leaving_since) = backend.leaving_since else {
             continue;
         };
         for (id, runs) in &runs {
+            let sender = senders.get(id.as_str());
+            let excuses = |fault: &Fault| {
+                let is_sender = sender.is_some_and(|sender| fault.instances.contains(sender));
+                let is_link = fault.name == "server_cut" && fault.servers.contains(&index);
+                is_sender || is_link || STORE_FAULTS.contains(&fault.name)
+            };
             let late = runs.iter().find(|run| {
                 run.server == backend.server.id()
                     && run.started > leaving_since + LEAVING_GRACE
-                    && is_undisturbed(faults, is_harmful, leaving_since, run.started)
+                    && is_undisturbed(faults, excuses, leaving_since, run.started)
             });
             if let Some(run) = late {
                 let after = run.started - leaving_since;
@@ -169,17 +183,18 @@
 }
 
 /// Checks that an instance that has passed on a response in which a server says that it is leaving
-/// sends the server nothing after `LEAVING_GRACE`, unless an instance was stopped.
+/// sends the server nothing after `LEAVING_GRACE`, unless the instance was stopped.
 fn check_statements(
     testbed: &Testbed,
     results: &[CallerResult],
-    instances: &HashMap<&str, SocketAddr>,
+    senders: &Senders<'_>,
     faults: &[Fault],
 ) -> Vec<String> {
-    let mut told: HashMap<(SocketAddr, &str), Instant> = HashMap::new();
+    let mut told: HashMap<(usize, &str), Instant> = HashMap::new();
     for result in results {
-        if let Some((at, server)) = &result.leaving {
-            let first = told.entry((result.instance, server)).or_insert(*at);
+        let sender = senders.get(result.id.as_str());
+        if let (Some(sender), Some((at, server))) = (sender, &result.leaving) {
+            let first = told.entry((*sender, server)).or_insert(*at);
             *first = (*first).min(*at);
         }
     }
@@ -187,11 +202,14 @@
     for backend in &testbed.backends {
         let server = backend.server.id();
         for arrival in backend.server.arrivals() {
-            let instance = instances.get(arrival.id.as_str());
-            let told = instance.and_then(|instance| told.get(&(*instance, server)));
-            let late = told.is_some_and(|told| {
+            let Some(sender) = senders.get(arrival.id.as_str()) else {
+                continue;
+            };
+            let stops =
+                |fault: &Fault| STOPS.contains(&fault.name) && fault.instances.contains(sender);
+            let late = told.get(&(*sender, server)).is_some_and(|told| {
                 arrival.at > *told + LEAVING_GRACE
-                    && is_undisturbed(faults, |name| STOPS.contains(&name), *told, arrival.at)
+                    && is_undisturbed(faults, stops, *told, arrival.at)
             });
             if late {
                 violations.push(format!(
@@ -205,35 +223,24 @@
 }
 
 /// Checks that a server gets next to nothing from an instance that it has asked for a pause, unless
-/// an instance was stopped, restarted or cut off.
-fn check_pauses(
-    testbed: &Testbed,
-    instances: &HashMap<&str, SocketAddr>,
-    faults: &[Fault],
-) -> Vec<String> {
+/// the instance was stopped, restarted or cut off.
+fn check_pauses(testbed: &Testbed, senders: &Senders<'_>, faults: &[Fault]) -> Vec<String> {
     let mut violations = Vec::new();
     for backend in &testbed.backends {
         let arrivals = backend.server.arrivals();
         for asked in &arrivals {
-            let Some((at, length)) = asked.pause else {
+            let sender = senders.get(asked.id.as_str());
+            let (Some((at, length)), Some(sender)) = (asked.pause, sender) else {
                 continue;
             };
-            let instance = instances.get(asked.id.as_str());
             let in_pause = arrivals.iter().filter(|arrival| {
                 arrival.at > at + PAUSE_GRACE
                     && arrival.at < at + length
-                    && instances.get(arrival.id.as_str()) == instance
+                    && senders.get(arrival.id.as_str()) == Some(sender)
             });
             let count = in_pause.count();
-            if instance.is_some()
-                && count > PAUSE_REQUESTS_MAX
-                && is_undisturbed(
-                    faults,
-                    |name| INSTANCE_FAULTS.contains(&name),
-                    at,
-                    at + length,
-                )
-            {
+            let disturbs = |fault: &Fault| fault.instances.contains(sender);
+            if count > PAUSE_REQUESTS_MAX && is_undisturbed(faults, disturbs, at, at + length) {
                 violations.push(format!(
                     "server {} got {count} requests of an instance that it had asked for a pause of {length:?}",
                     backend.server.id()
@@ -244,22 +251,44 @@
     violations
 }
 
-/// Whether no fault that `excuses` is one of was active in a span of time or less than `SETTLE_TIME`
-/// before it.
+/// Checks that a request that was passed on gets its server's answer unless that takes longer than
+/// the request's deadline, whatever is stopped or changed meanwhile as planned.
+fn check_answers(testbed: &Testbed, results: &[CallerResult], faults: &[Fault]) -> Vec<String> {
+    let is_unplanned = |fault: &Fault| !PLANNED.contains(&fault.name);
+    let mut violations = Vec::new();
+    for result in results {
+        let in_time = result.ended_at < result.sent_at + testbed.options.deadline();
+        let unanswered = matches!(result.status, None | Some(502 | 504));
+        if in_time
+            && unanswered
+            && !testbed.ledger.runs(&result.id).is_empty()
+            && is_undisturbed(faults, is_unplanned, result.sent_at, result.ended_at)
+        {
+            violations.push(format!(
+                "{}: ran and was not answered, status {:?}",
+                result.id, result.status
+            ));
+        }
+    }
+    violations
+}
+
+/// Whether no fault that `excuses` was active in a span of time or less than `SETTLE_TIME` before it.
 fn is_undisturbed(
     faults: &[Fault],
-    excuses: impl Fn(&str) -> bool,
+    excuses: impl Fn(&Fault) -> bool,
     from: Instant,
     to: Instant,
 ) -> bool {
     let disturbs =
-        |fault: &Fault| excuses(fault.name) && fault.at < to && fault.until + SETTLE_TIME > from;
+        |fault: &Fault| excuses(fault) && fault.at < to && fault.until + SETTLE_TIME > from;
     !faults.iter().any(disturbs)
 }
 
 /// Checks that a server with a limit gets no more in any window than that allows, from `SETTLE_TIME`
 /// after it named the limit, unless an instance was stopped, restarted or cut off.
 fn check_limits(testbed: &Testbed, faults: &[Fault]) -> Vec<String> {
+    let is_of_instance = |fault: &Fault| INSTANCE_FAULTS.contains(&fault.name);
     let mut violations = Vec::new();
     for backend in &testbed.backends {
         let arrivals = backend.server.arrival_times();
@@ -277,9 +306,7 @@
                 let end = *start + LIMIT_WINDOW;
                 let within = in_force.iter().filter(|at| *at >= start && **at < end);
                 let count = within.count();
-                if count as f64 > allowed
-                    && is_undisturbed(faults, |name| INSTANCE_FAULTS.contains(&name), *start, end)
-                {
+                if count as f64 > allowed && is_undisturbed(faults, is_of_instance, *start, end) {
                     violations.push(format!(
                         "server {} with a limit of {limit} a second got {count} requests in {LIMIT_WINDOW:?}",
                         backend.server.id()
--- a/crates/wb-soak/src/faults.rs
+++ b/crates/wb-soak/src/faults.rs
@@ -11,31 +11,46 @@
 use wb_stand::published::store::Mode;
 use wb_stand::relay::Link;
 
+use crate::testbed::Options;
 use crate::testbed::Testbed;
-use crate::testbed::healthy_behaviour;
 
 /// Longest pause between two faults, in milliseconds.
 const PAUSE_MAX_MS: u64 = 700;
 /// Longest duration of a fault, in milliseconds.
 const FAULT_MAX_MS: u64 = 4000;
+/// Interval at which the end of terminated processes is checked.
+const EXIT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A fault that was injected.
 #[derive(Clone, Debug)]
 pub struct Fault {
-    /// One of the names in `FAULTS`.
+    /// One of the names in `FAULTS` or `PLANNED`.
     pub name: &'static str,
     /// When the fault had been injected.
     pub at: Instant,
-    /// When the fault was due to end; no later than the end of all faults.
+    /// When the fault was over.
     pub until: Instant,
+    /// Indexes of the instances that it concerns.
+    pub instances: Vec<usize>,
+    /// Indexes of the backend servers that it concerns.
+    pub servers: Vec<usize>,
+}
+
+/// A fault that is to be ended.
+struct Active {
+    /// Index of the fault among those that were injected.
+    fault: usize,
+    /// When it is due to end.
+    due: Instant,
+    repair: Repair,
 }
 
 /// Action that ends a fault. Indexes are those of instances or backend servers in the testbed.
 enum Repair {
     /// Continues the stopped process of an instance.
     Resume(usize),
-    /// Restarts the process of an instance.
-    Launch(usize),
+    /// Restarts an instance once its process with this id has exited.
+    Launch(usize, Option<u32>),
     /// Reopens the link to a backend server.
     OpenServerLink(usize),
     /// Makes a backend server healthy again.
@@ -52,6 +67,38 @@
     None,
 }
 
+impl Repair {
+    /// The instance that the fault concerns.
+    fn instance(&self) -> Option<usize> {
+        match self {
+            Self::Resume(index) | Self::Launch(index, _) | Self::OpenStoreLink(index) => {
+                Some(*index)
+            }
+            _ => None,
+        }
+    }
+
+    /// The backend server that the fault concerns.
+    fn server(&self) -> Option<usize> {
+        match self {
+            Self::OpenServerLink(index) | Self::RestoreServer(index) | Self::LiftLimit(index) => {
+                Some(*index)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether the fault can be ended now.
+    fn is_possible(&self, testbed: &mut Testbed) -> eyre::Result<bool> {
+        match self {
+            Self::Launch(index, ended) => {
+                Ok(testbed.process(*index) != *ended || !testbed.is_running(*index)?)
+            }
+            _ => Ok(true),
+        }
+    }
+}
+
 /// Longest duration of a limit, in milliseconds. It is kept only some seconds after it was named.
 const LIMIT_MAX_MS: u64 = 20_000;
 /// Share of the runs without faults of instances, which excuse much of what the others show.
@@ -80,6 +127,18 @@
     "server_pauses",
 ];
 
+/// Names of planned work, which is drawn alone in runs without faults.
+pub const PLANNED: [&str; 8] = [
+    "terminate",
+    "reload",
+    "configure",
+    "server_joins",
+    "server_leaves",
+    "server_limits",
+    "server_says_leaving",
+    "server_pauses",
+];
+
 /// Faults of instances and their links.
 pub const INSTANCE_FAULTS: [&str; 5] = ["kill", "stop", "terminate", "kill_many", "store_cut"];
 /// Faults that stop the process of an instance for a while or for good.
@@ -89,6 +148,18 @@
 /// Share of the requests that a server sheds while it asks for pauses.
 const PAUSE_SHED: f64 = 0.5;
 
+/// Names of the faults of a run.
+fn draw_kinds(planned: bool, rng: &mut SmallRng) -> Vec<&'static str> {
+    if planned {
+        return PLANNED.to_vec();
+    }
+    let spared = rng.random_bool(SPARED_SHARE);
+    let kinds = FAULTS.into_iter();
+    kinds
+        .filter(|name| !spared || !INSTANCE_FAULTS.contains(name))
+        .collect()
+}
+
 /// Injects random faults for `duration`, then ends them all and returns them.
 ///
 /// # Errors
@@ -100,70 +171,78 @@
     rng: &mut SmallRng,
 ) -> eyre::Result<Vec<Fault>> {
     let end = Instant::now() + duration;
-    let spared = rng.random_bool(SPARED_SHARE);
-    let kinds: Vec<&str> = FAULTS
-        .into_iter()
-        .filter(|name| !spared || !INSTANCE_FAULTS.contains(name))
-        .collect();
-    let mut active: Vec<(Instant, Repair)> = Vec::new();
+    let kinds = draw_kinds(testbed.options.planned, rng);
+    let mut active: Vec<Active> = Vec::new();
     let mut injected = Vec::new();
     while Instant::now() < end {
         let pause = Duration::from_millis(rng.random_range(20..PAUSE_MAX_MS));
         tokio::time::sleep(pause).await;
-        repair_due(testbed, &mut active, Instant::now())?;
+        repair_due(testbed, &mut active, &mut injected, Instant::now())?;
         let name = *kinds.choose(rng).expect("there are faults");
         testbed.back_up_store(rng);
         let longest = match name {
             "server_limits" => LIMIT_MAX_MS,
             _ => FAULT_MAX_MS,
         };
-        let until = Instant::now() + Duration::from_millis(rng.random_range(200..longest));
+        let due = Instant::now() + Duration::from_millis(rng.random_range(200..longest));
         let repairs = inject(testbed, name, rng).await?;
+        let at = Instant::now();
         injected.push(Fault {
             name,
-            at: Instant::now(),
-            until,
+            at,
+            until: at,
+            instances: repairs.iter().filter_map(Repair::instance).collect(),
+            servers: repairs.iter().filter_map(Repair::server).collect(),
         });
-        active.extend(repairs.into_iter().map(|repair| (until, repair)));
+        let fault = injected.len() - 1;
+        active.extend(
+            repairs
+                .into_iter()
+                .map(|repair| Active { fault, due, repair }),
+        );
     }
-    let last = active.iter().map(|(until, _)| *until).max();
-    repair_due(testbed, &mut active, last.unwrap_or(end))?;
-    let now = Instant::now();
-    for fault in &mut injected {
-        fault.until = fault.until.min(now);
+    let last = active.iter().map(|one| one.due).max().unwrap_or(end);
+    while !active.is_empty() {
+        repair_due(testbed, &mut active, &mut injected, last)?;
+        tokio::time::sleep(EXIT_INTERVAL).await;
     }
     Ok(injected)
 }
 
-/// Ends all active faults that are due by `now`.
+/// Ends all active faults that are due by `now`, as far as that is possible.
 fn repair_due(
     testbed: &mut Testbed,
-    active: &mut Vec<(Instant, Repair)>,
+    active: &mut Vec<Active>,
+    injected: &mut [Fault],
     now: Instant,
 ) -> eyre::Result<()> {
-    let (due, remaining) = std::mem::take(active)
-        .into_iter()
-        .partition(|(until, _)| *until <= now);
-    *active = remaining;
-    let due: Vec<(Instant, Repair)> = due;
-    for (_, repair) in due {
-        match repair {
-            Repair::Resume(index) => testbed.signal(index, Signal::CONT),
-            Repair::Launch(index) => testbed.launch(index)?,
-            Repair::OpenServerLink(index) => testbed.backends[index].link.set_link(Link::Open),
-            Repair::RestoreServer(index) => {
-                let server = &testbed.backends[index].server;
-                server.set_behaviour(healthy_behaviour());
-                server.set_pause(None);
-            }
-            Repair::OpenStoreLink(index) => {
-                testbed.instances[index].store_link.set_link(Link::Open)
-            }
-            Repair::RestoreStore => testbed.store.set_mode(Mode::Normal),
-            Repair::Rewrite => testbed.rewrite(),
-            Repair::LiftLimit(index) => testbed.set_limit(index, None),
-            Repair::None => {}
+    for one in std::mem::take(active) {
+        if one.due > now || !one.repair.is_possible(testbed)? {
+            active.push(one);
+            continue;
+        }
+        repair(testbed, one.repair)?;
+        injected[one.fault].until = Instant::now();
+    }
+    Ok(())
+}
+
+/// Ends one fault.
+fn repair(testbed: &mut Testbed, repair: Repair) -> eyre::Result<()> {
+    match repair {
+        Repair::Resume(index) => testbed.signal(index, Signal::CONT),
+        Repair::Launch(index, _) => testbed.launch(index)?,
+        Repair::OpenServerLink(index) => testbed.backends[index].link.set_link(Link::Open),
+        Repair::RestoreServer(index) => {
+            let server = &testbed.backends[index].server;
+            server.set_behaviour(testbed.options.healthy_behaviour());
+            server.set_pause(None);
         }
+        Repair::OpenStoreLink(index) => testbed.instances[index].store_link.set_link(Link::Open),
+        Repair::RestoreStore => testbed.store.set_mode(Mode::Normal),
+        Repair::Rewrite => testbed.rewrite(),
+        Repair::LiftLimit(index) => testbed.set_limit(index, None),
+        Repair::None => {}
     }
     Ok(())
 }
@@ -181,7 +260,7 @@
     Ok(vec![match name {
         "kill" => {
             testbed.signal(instance, Signal::KILL);
-            Repair::Launch(instance)
+            Repair::Launch(instance, testbed.process(instance))
         }
         "stop" => {
             testbed.signal(instance, Signal::STOP);
@@ -189,7 +268,11 @@
         }
         "terminate" => {
             testbed.signal(instance, Signal::TERM);
-            Repair::Launch(instance)
+            Repair::Launch(instance, testbed.process(instance))
+        }
+        "reload" => {
+            testbed.signal(instance, Signal::HUP);
+            Repair::None
         }
         "kill_many" => {
             let killed: Vec<usize> = (0..testbed.instances.len())
@@ -198,7 +281,8 @@
             for index in &killed {
                 testbed.signal(*index, Signal::KILL);
             }
-            return Ok(killed.into_iter().map(Repair::Launch).collect());
+            let launch = |index| Repair::Launch(index, testbed.process(index));
+            return Ok(killed.into_iter().map(launch).collect());
         }
         "store_unavailable" => set_store_mode(testbed, Mode::Unavailable),
         "store_hangs" => set_store_mode(testbed, Mode::Hang),
@@ -210,7 +294,7 @@
         "server_fails_partially" => {
             testbed.backends[backend]
                 .server
-                .set_behaviour(partial_failure(rng));
+                .set_behaviour(partial_failure(&testbed.options, rng));
             Repair::RestoreServer(backend)
         }
         "server_cut" => {
@@ -249,7 +333,7 @@
             server.set_pause(Some(pause));
             server.set_behaviour(Behaviour {
                 shed: PAUSE_SHED,
-                ..healthy_behaviour()
+                ..testbed.options.healthy_behaviour()
             });
             Repair::RestoreServer(backend)
         }
@@ -265,14 +349,15 @@
     Repair::RestoreStore
 }
 
-/// Whether the service of a server has at least two others that aren't leaving.
+/// Whether the service of a server has enough others that aren't leaving.
 fn is_spare(testbed: &Testbed, index: usize) -> bool {
     let service = testbed.backends[index].service;
     let servers = testbed
         .backends
         .iter()
         .filter(|backend| backend.service == service);
-    servers.filter(|backend| !backend.is_leaving()).count() > 2
+    let staying = servers.filter(|backend| !backend.is_leaving()).count();
+    staying > testbed.options.least_servers()
 }
 
 /// Marks a server as leaving in its row, unless too few others are left.
@@ -283,9 +368,9 @@
 }
 
 /// Behaviour that fails a random share of the requests in a random way.
-fn partial_failure(rng: &mut SmallRng) -> Behaviour {
+fn partial_failure(options: &Options, rng: &mut SmallRng) -> Behaviour {
     let share = rng.random_range(0.2..0.9);
-    let mut behaviour = healthy_behaviour();
+    let mut behaviour = options.healthy_behaviour();
     match rng.random_range(0..7) {
         0 => behaviour.reset = share,
         1 => behaviour.lose_response = share,
--- a/crates/wb-soak/src/main.rs
+++ b/crates/wb-soak/src/main.rs
@@ -22,6 +22,8 @@
             optional --daemons count: usize
             /// Number of backend servers of each service; 5 if not given.
             optional --servers count: usize
+            /// Plays planned work alone, without faults.
+            optional --planned
             /// Folder for settings and logs; `out/soak` if not given.
             optional --out folder: PathBuf
         }
@@ -43,6 +45,7 @@
             seed,
             instances: flags.daemons.unwrap_or(6),
             servers: flags.servers.unwrap_or(5),
+            planned: flags.planned,
         };
         match wb_soak::run(options, duration).await {
             Ok(report) => {
--- a/crates/wb-soak/src/testbed.rs
+++ b/crates/wb-soak/src/testbed.rs
@@ -45,6 +45,14 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time that a healthy server takes for a request.
 const WORK_TIME: Duration = Duration::from_millis(40);
+/// The same in runs of planned work alone.
+const PLANNED_WORK_TIME: Duration = Duration::from_millis(600);
+/// Deadline that callers send with a request, and timeout of the routes.
+const DEADLINE: Duration = Duration::from_millis(3000);
+/// The same in runs of planned work alone: longer than the grace period.
+const PLANNED_DEADLINE: Duration = Duration::from_millis(8000);
+/// Share of the requests that take several times as long in these.
+const SLOW_SHARE: f64 = 0.1;
 
 /// Size, seed and output folder of a run.
 #[derive(Clone, Debug)]
@@ -57,6 +65,42 @@
     pub instances: usize,
     /// Number of backend servers of each service.
     pub servers: usize,
+    /// Whether there is only planned work: stops, reloads, changes, and what servers say of
+    /// themselves.
+    pub planned: bool,
+}
+
+impl Options {
+    /// Number of servers of a service that don't leave. Without faults, they have room for all
+    /// requests.
+    pub fn least_servers(&self) -> usize {
+        if self.planned { 4 } else { 2 }
+    }
+
+    /// Deadline that callers send with a request. They give up after twice this time.
+    pub fn deadline(&self) -> Duration {
+        if self.planned {
+            PLANNED_DEADLINE
+        } else {
+            DEADLINE
+        }
+    }
+
+    /// Behaviour of a healthy server. In runs without faults, requests that take long are still in
+    /// progress when an instance ends.
+    pub fn healthy_behaviour(&self) -> Behaviour {
+        if self.planned {
+            return Behaviour {
+                work: PLANNED_WORK_TIME,
+                slow: SLOW_SHARE,
+                ..Behaviour::default()
+            };
+        }
+        Behaviour {
+            work: WORK_TIME,
+            ..Behaviour::default()
+        }
+    }
 }
 
 /// A backend server and the link that the fleet reaches it through.
@@ -194,7 +238,11 @@
     }
 
     fn put_config(&self) {
-        let config = fixtures::config(self.version, self.version as usize - 1);
+        let mut config = fixtures::config(self.version, self.version as usize - 1);
+        for route in ["lookup", "order"] {
+            config["routes"][route]["timeout_ms"] =
+                (self.options.deadline().as_millis() as u64).into();
+        }
         self.store
             .put("op", "config", config.to_string().as_bytes());
     }
@@ -211,7 +259,7 @@
         let target = listener.local_addr()?;
         let id = format!("i-{index:04}");
         let server = Server::start(listener, &id, service, self.ledger.clone());
-        server.set_behaviour(healthy_behaviour());
+        server.set_behaviour(self.options.healthy_behaviour());
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
         let link = Relay::start(listener, target);
@@ -261,18 +309,33 @@
         self.launch(index)
     }
 
+    /// Id of the process of an instance, which may have exited.
+    pub fn process(&self, index: usize) -> Option<u32> {
+        self.instances[index].child.as_ref().map(Child::id)
+    }
+
+    /// Whether the process of an instance is running.
+    ///
+    /// # Errors
+    ///
+    /// When the state of the process can't be read.
+    pub fn is_running(&mut self, index: usize) -> eyre::Result<bool> {
+        match &mut self.instances[index].child {
+            Some(child) => Ok(child.try_wait()?.is_none()),
+            None => Ok(false),
+        }
+    }
+
     /// Starts the process of an instance, unless it is running.
     ///
     /// # Errors
     ///
     /// When the log can't be opened or the program can't be started.
     pub fn launch(&mut self, index: usize) -> eyre::Result<()> {
-        let instance = &mut self.instances[index];
-        if let Some(child) = &mut instance.child
-            && child.try_wait()?.is_none()
-        {
+        if self.is_running(index)? {
             return Ok(());
         }
+        let instance = &mut self.instances[index];
         let program = std::env::current_exe()?;
         let folder = program
             .parent()
@@ -354,14 +417,6 @@
     }
 }
 
-/// Behaviour of a healthy server.
-pub fn healthy_behaviour() -> Behaviour {
-    Behaviour {
-        work: WORK_TIME,
-        ..Behaviour::default()
-    }
-}
-
 /// Finds the folder of the programs from the folder of this program.
 trait ProgramFolder {
     fn without_deps(&self) -> PathBuf;
--- a/crates/wb-soak/tests/soak.rs
+++ b/crates/wb-soak/tests/soak.rs
@@ -7,11 +7,11 @@
 use wb_soak::testbed::Options;
 
 macro_rules! soak_tests {
-    ($($name:ident: $seed:expr, $instances:expr, $servers:expr, $seconds:expr;)+) => {
+    ($($name:ident: $seed:expr, $instances:expr, $servers:expr, $seconds:expr, $planned:expr;)+) => {
         $(#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
         async fn $name() {
             let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(stringify!($name));
-            let options = Options { out: folder, seed: $seed, instances: $instances, servers: $servers };
+            let options = Options { out: folder, seed: $seed, instances: $instances, servers: $servers, planned: $planned };
             let report = wb_soak::run(options, Duration::from_secs($seconds)).await;
             let report = report.expect("the run completes");
             assert!(report.violations.is_empty(), "{report}");
@@ -20,9 +20,11 @@
 }
 
 soak_tests! {
-    seed_1: 1, 4, 4, 6;
+    seed_1: 1, 4, 4, 6, false;
     // Servers got more than their limits, which the gateway did not read.
-    seed_5: 5, 6, 5, 15;
+    seed_5: 5, 6, 5, 15, false;
     // Servers that had said in responses that they were leaving, or had asked for a pause, were used.
-    seed_6001: 6001, 6, 5, 15;
+    seed_6001: 6001, 6, 5, 15, false;
+    // Requests that were taken late in the grace were cut, and answers of servers got lost.
+    planned_201: 201, 6, 5, 15, true;
 }
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -43,6 +43,8 @@
 /// Header of all responses of a server that is leaving.
 pub const SERVER_LEAVING: &str = "server-leaving";
 
+/// Ratio of the duration of a slow request to that of others, as in the users' deployments.
+const SLOW_FACTOR: u32 = 7;
 /// Limit of waiting requests at a server; further ones are shed.
 const QUEUE_MAX: u32 = 24;
 
@@ -107,6 +109,8 @@
     pub mismatch: f64,
     /// Duration of a request.
     pub work: Duration,
+    /// Takes `SLOW_FACTOR` times as long.
+    pub slow: f64,
 }
 
 /// What a server does with one request.
@@ -123,6 +127,15 @@
 }
 
 impl Behaviour {
+    fn draw_duration(&self) -> Duration {
+        let slow = rand::rng().random::<f64>() < self.slow;
+        if slow {
+            self.work * SLOW_FACTOR
+        } else {
+            self.work
+        }
+    }
+
     fn draw_action(&self) -> Action {
         let mut left = rand::rng().random::<f64>();
         let actions = [
@@ -312,7 +325,7 @@
         );
         self.busy.fetch_add(1, Ordering::Relaxed);
         let _busy = BusyGuard(&self.busy);
-        tokio::time::sleep(behaviour.work).await;
+        tokio::time::sleep(behaviour.draw_duration()).await;
         match action {
             Action::LoseResponse => Err(io::ErrorKind::ConnectionReset.into()),
             Action::Hang => std::future::pending().await,
