fix: late in a long grace, only requests that are sure to be answered are taken

At a server that hangs they were passed on, held, and answered 504 at 90%, orders among them. The users accept that for requests of the first three seconds; later ones are lost. Cause: the decision knew the end and not the signal. Class: a promise that depends on somebody else's health. Change: three seconds after the signal, a request is taken only if its deadline lies before the end; the others are refused as not run.

--- a/crates/wb-balance/src/closing.rs
+++ b/crates/wb-balance/src/closing.rs
@@ -10,18 +10,32 @@
 /// Typical durations that have to remain before the end. By the users' sheets, three in a hundred
 /// requests take seven times as long as usual.
 const DURATIONS: u32 = 8;
+/// Time after the stop signal in which requests are taken that are only likely to be answered in time.
+/// A hanging server would make the others wait until they are given up at the end; callers who send
+/// that late are better refused at once.
+const UNSURE_TIME: Duration = Duration::from_secs(3);
 
 /// The end of an instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Closing {
+    /// When the instance was told to end.
+    pub begin: Moment,
     /// When the last response has to be complete.
     pub end: Moment,
 }
 
 impl Closing {
-    /// Whether a request that usually takes `typical`, and ends by `deadline` in any case, would be
-    /// answered in time if it were sent now.
-    pub fn admits(&self, typical: Duration, deadline: Moment, now: Moment) -> bool {
-        deadline.min(now + typical * DURATIONS) <= self.end
+    /// Whether a request that arrived at the time `arrived`, usually takes `typical` and ends by
+    /// `deadline` in any case would be answered in time if it were sent now.
+    pub fn admits(
+        &self,
+        arrived: Moment,
+        typical: Duration,
+        deadline: Moment,
+        now: Moment,
+    ) -> bool {
+        let is_sure = deadline <= self.end;
+        let is_likely = now + typical * DURATIONS <= self.end;
+        is_sure || (is_likely && arrived <= self.begin + UNSURE_TIME)
     }
 }
--- a/crates/wb-balance/tests/closing.rs
+++ b/crates/wb-balance/tests/closing.rs
@@ -33,7 +33,10 @@
             at(0),
         );
     }
-    balancer.close(Closing { end: at(END) });
+    balancer.close(Closing {
+        begin: at(0),
+        end: at(END),
+    });
     balancer
 }
 
@@ -58,6 +61,23 @@
     assert!(last + USUAL * LONGEST >= at(END), "{last:?} is too early");
 }
 
+macro_rules! late_requests {
+    ($($name:ident: arrived $arrived:literal, deadline $deadline:literal => $admitted:literal;)+) => {$(
+        #[test]
+        fn $name() {
+            let closing = Closing { begin: at(1000), end: at(60_000) };
+            let now = at($arrived);
+            assert_eq!(closing.admits(now, USUAL, at($deadline), now), $admitted);
+        }
+    )+};
+}
+
+late_requests! {
+    request_that_arrives_soon_after_the_signal_is_refused: arrived 3900, deadline 70_000 => true;
+    request_that_arrives_late_and_may_outlast_the_instance_is_sent: arrived 4100, deadline 70_000 => false;
+    request_that_arrives_late_and_ends_before_the_instance_is_refused: arrived 4100, deadline 59_000 => true;
+}
+
 #[test]
 fn request_that_ends_before_the_instance_is_refused() {
     let mut balancer = closing(2, 6);
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -84,7 +84,7 @@
     state: Mutex<State>,
     leaving: AtomicBool,
     closing: AtomicBool,
-    end: watch::Sender<Option<Moment>>,
+    end: watch::Sender<Option<Closing>>,
     serial: AtomicU64,
     start: Instant,
 }
@@ -175,17 +175,18 @@
 
     /// Answers requests by `end`, and sends none that would be answered later.
     pub fn set_end(&self, end: Moment) {
-        self.end.send_replace(Some(end));
         let now = self.now();
+        let closing = Closing { begin: now, end };
+        self.end.send_replace(Some(closing));
         let mut state = self.state();
         for service in state.services.values_mut() {
-            service.balancer.close(Closing { end });
+            service.balancer.close(closing);
             service.release_queued(now);
         }
     }
 
-    /// When all requests have to be answered, because this instance ends; `None` if it does not.
-    pub fn end(&self) -> Option<Moment> {
+    /// The end of this instance; `None` if it goes on.
+    pub fn closing(&self) -> Option<Closing> {
         *self.end.borrow()
     }
 
@@ -195,7 +196,7 @@
         loop {
             let due = end
                 .borrow_and_update()
-                .map_or(deadline, |end| end.min(deadline));
+                .map_or(deadline, |closing| closing.end.min(deadline));
             let wait = due.saturating_sub(self.now());
             tokio::select! {
                 () = tokio::time::sleep(wait) => return,
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -14,7 +14,6 @@
 use wb_balance::Refusal;
 use wb_balance::RetryBudget;
 use wb_balance::WaitKey;
-use wb_balance::closing::Closing;
 use wb_balance::limit::Division;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
@@ -124,8 +123,8 @@
         let settings = &context.settings;
         self.services.entry(name.clone()).or_insert_with(|| {
             let mut service = Service::new(&settings.card.domain, &settings.bounds);
-            if let Some(end) = context.end() {
-                service.balancer.close(Closing { end });
+            if let Some(closing) = context.closing() {
+                service.balancer.close(closing);
             }
             service
         })
