--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -46,9 +46,8 @@
     /// Whether this instance ends before a request that is sent now would be answered.
     pub(super) fn ends_before(&self, request: &RequestInfo, now: Moment) -> bool {
         let typical = self.typical_duration(&request.route, request.target_latency);
-        let admits =
-            |closing: Closing| closing.admits(request.arrived, typical, request.deadline, now);
-        !self.closing.is_none_or(admits)
+        self.closing
+            .is_some_and(|closing| !closing.admits(request, typical, now))
     }
 
     /// Decides on a request that a server shed or that is retried. Uses the retry budget.
--- a/crates/wb-balance/src/closing.rs
+++ b/crates/wb-balance/src/closing.rs
@@ -7,6 +7,8 @@
 
 use wb_types::id::Moment;
 
+use crate::RequestInfo;
+
 /// Typical durations that have to remain before the end. By the users' sheets, three in a hundred
 /// requests take seven times as long as usual.
 const DURATIONS: u32 = 8;
@@ -25,17 +27,10 @@
 }
 
 impl Closing {
-    /// Whether a request that arrived at the time `arrived`, usually takes `typical` and ends by
-    /// `deadline` in any case would be answered in time if it were sent now.
-    pub fn admits(
-        &self,
-        arrived: Moment,
-        typical: Duration,
-        deadline: Moment,
-        now: Moment,
-    ) -> bool {
-        let is_sure = deadline <= self.end;
+    /// Whether a request that usually takes `typical` would be answered in time if it were sent now.
+    pub fn admits(&self, request: &RequestInfo, typical: Duration, now: Moment) -> bool {
+        let is_sure = request.deadline <= self.end;
         let is_likely = now + typical * DURATIONS <= self.end;
-        is_sure || (is_likely && arrived <= self.begin + UNSURE_TIME)
+        is_sure || (is_likely && request.arrived <= self.begin + UNSURE_TIME)
     }
 }
--- a/crates/wb-balance/tests/closing.rs
+++ b/crates/wb-balance/tests/closing.rs
@@ -11,6 +11,7 @@
 use wb_balance::AttemptOutcome;
 use wb_balance::Balancer;
 use wb_balance::Decision;
+use wb_balance::RequestInfo;
 use wb_balance::balancer::RefusalCause;
 use wb_balance::closing::Closing;
 
@@ -67,7 +68,8 @@
         fn $name() {
             let closing = Closing { begin: at(1000), end: at(60_000) };
             let now = at($arrived);
-            assert_eq!(closing.admits(now, USUAL, at($deadline), now), $admitted);
+            let request = RequestInfo { deadline: at($deadline), ..request(false, now) };
+            assert_eq!(closing.admits(&request, USUAL, now), $admitted);
         }
     )+};
 }
