fix: the server list is as new as the platform call, not as its answer

An answer that was on its way for long made an old list look new, put off the next read, and was passed on as the list's age in heartbeats. With answers of 600 ms, a server that left right after the first read was used for 1,300 ms and two answers: 2,500 ms, beyond the bound. What is known of an answer is when its call was sent, and that the platform has waited as long as it was asked to if there are no changes. Change: `freshness::Call::complete_at`, used for polls, reads and whole reads. A long poll that ends with changes counts from its beginning, which is at most 0.18 of the bound too early. Also on virtual time: heartbeats that waited in a frozen instance (green before).

--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -9,6 +9,7 @@
 use wb_members::listing::RowChange;
 use wb_members::listing::Update;
 use wb_members::listing::freshness::Announcement;
+use wb_members::listing::freshness::Call;
 use wb_members::listing::freshness::ReadCause;
 use wb_types::id::Moment;
 use wb_types::roster::Lifecycle;
@@ -133,9 +134,18 @@
     let (Reading::Changes { wait }, Some(version)) = (reading, version) else {
         return read_all(context).await;
     };
+    let begin = context.now();
     let changes = context.catalog.watch_servers(version, wait).await?;
     observe_era(context, "servers");
-    accept(context, changes);
+    // The platform answers without changes only when it has waited for them.
+    let waited = if changes.rows.is_empty() {
+        wait
+    } else {
+        Duration::ZERO
+    };
+    let end = context.now();
+    let call = Call { begin, end, waited };
+    accept(context, changes, call.complete_at());
     Ok(())
 }
 
@@ -152,6 +162,7 @@
 }
 
 async fn read_all(context: &Context) -> Result<(), Error> {
+    let begin = context.now();
     let servers = context.catalog.servers().await?;
     observe_era(context, "servers");
     log_errors(&servers.errors);
@@ -167,7 +178,7 @@
         None => request_limits(context, &state),
     }
     self::apply_changes(context, &mut state, &changes, "platform");
-    confirm(context, &mut state, now);
+    confirm(context, &mut state, begin);
     Ok(())
 }
 
@@ -177,7 +188,8 @@
     context.send_packet(heartbeat, state.steering.home_peers());
 }
 
-fn accept(context: &Context, servers: Servers) {
+/// Applies changes that the platform has answered with, and that were complete at the time `seen`.
+fn accept(context: &Context, servers: Servers, seen: Moment) {
     log_errors(&servers.errors);
     let now = context.now();
     let mut state = context.state();
@@ -186,7 +198,7 @@
     let changes = state.listing.apply(servers.read_version, servers.rows, now);
     broadcast(context, &state, after, &changes);
     self::apply_changes(context, &mut state, &changes, "platform");
-    confirm(context, &mut state, now);
+    confirm(context, &mut state, seen);
 }
 
 /// Broadcasts what changed after a version, if this instance is one of those that follow the list.
--- a/crates/wb-members/src/listing/freshness.rs
+++ b/crates/wb-members/src/listing/freshness.rs
@@ -59,6 +59,24 @@
     }
 }
 
+/// Call to the platform that was answered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Call {
+    /// When it was sent.
+    pub begin: Moment,
+    /// When its response arrived.
+    pub end: Moment,
+    /// Time for which the platform has waited for changes, as far as the response shows that.
+    pub waited: Duration,
+}
+
+impl Call {
+    /// Time up to which the response is known to be complete. It may have been on its way since.
+    pub fn complete_at(&self) -> Moment {
+        (self.begin + self.waited).min(self.end)
+    }
+}
+
 /// Why the list has to be read.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/wb-members/tests/freshness.rs
+++ b/crates/wb-members/tests/freshness.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use wb_members::listing::freshness::Announcement;
+use wb_members::listing::freshness::Call;
 use wb_members::listing::freshness::Freshness;
 use wb_members::listing::freshness::ListState;
 use wb_members::listing::freshness::ReadCause;
@@ -61,6 +62,40 @@
     assert!(now + RESERVE <= at(1000) + BOUND);
 }
 
+macro_rules! answered_calls {
+    ($($name:ident: $begin:expr, $end:expr, waited $waited:expr => $complete:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            let call = Call { begin: at($begin), end: at($end), waited: at($waited) };
+            assert_eq!(call.complete_at(), at($complete));
+        }
+    )+};
+}
+
+answered_calls! {
+    response_counts_as_new_though_it_was_slow: 1000, 1900, waited 0 => 1000;
+    response_after_the_whole_wait_counts_as_old: 1000, 1365, waited 360 => 1360;
+    response_after_the_whole_wait_counts_as_new_though_it_was_slow: 1000, 2000, waited 360 => 1360;
+    response_before_the_end_of_the_wait_counts_as_later_than_it_arrived: 1000, 1100, waited 360 => 1100;
+}
+
+#[test]
+fn slow_responses_put_off_that_a_server_is_leaving() {
+    let mut freshness = Freshness::new(Times::within(BOUND));
+    let slow = |begin: Moment| Call {
+        begin,
+        end: begin + RESERVE,
+        waited: Duration::ZERO,
+    };
+    let first = slow(at(1000));
+    freshness.confirm(first.complete_at());
+    let (read, _) = first_read(&mut freshness, own(10, 1), first.end);
+    assert!(
+        slow(read).end <= first.begin + BOUND,
+        "a server may have left right after the first response"
+    );
+}
+
 #[test]
 fn gap_is_filled_in_time() {
     let mut freshness = freshness();
@@ -83,6 +118,35 @@
     assert!(read + RESERVE <= at(1000) + BOUND);
 }
 
+/// An instance is frozen from 1 to 5 s. The heartbeats that arrived meanwhile seem to be new; the last
+/// of them have the news, or were dropped since there were too many.
+fn read_after_a_freeze(dropped: bool) -> Moment {
+    let mut freshness = freshness();
+    let now = at(5000);
+    for sent in (1300..5000).step_by(300) {
+        let version = if sent < 2000 { 10 } else { 14 };
+        if dropped && version == 14 {
+            continue;
+        }
+        if freshness.compare(own(10, 10), other(version, version, now), now) {
+            freshness.confirm(now);
+        }
+    }
+    let next = now + HEARTBEAT;
+    if freshness.read_cause(own(10, 10), next).is_none() {
+        freshness.compare(own(10, 10), other(14, 14, next), next);
+    }
+    first_read(&mut freshness, own(10, 10), now).0
+}
+
+#[test]
+fn heartbeats_that_arrived_in_a_freeze_put_off_the_read() {
+    for dropped in [false, true] {
+        let read = read_after_a_freeze(dropped);
+        assert!(read + RESERVE <= at(5000) + BOUND, "{read:?}");
+    }
+}
+
 #[test]
 fn changes_that_arrive_after_their_announcement_are_not_read() {
     let mut freshness = freshness();
--- a/crates/wb-stand/src/published/store.rs
+++ b/crates/wb-stand/src/published/store.rs
@@ -41,6 +41,8 @@
     LoseResponse,
     /// After this delay.
     Slow(Duration),
+    /// At once, with a response that takes this long to arrive.
+    SlowResponse(Duration),
 }
 
 /// Id of a row: table, part and key.
@@ -282,7 +284,7 @@
             inner.mode
         };
         match mode {
-            Mode::Normal | Mode::LoseResponse => {}
+            Mode::Normal | Mode::LoseResponse | Mode::SlowResponse(_) => {}
             Mode::Unavailable => return reply::empty_response(StatusCode::SERVICE_UNAVAILABLE),
             Mode::Hang => return std::future::pending().await,
             Mode::Slow(delay) => tokio::time::sleep(delay).await,
@@ -296,8 +298,10 @@
             },
             _ => reply::empty_response(StatusCode::NOT_FOUND),
         };
-        if mode == Mode::LoseResponse {
-            return std::future::pending().await;
+        match mode {
+            Mode::LoseResponse => std::future::pending().await,
+            Mode::SlowResponse(delay) => tokio::time::sleep(delay).await,
+            _ => {}
         }
         response
     }
