fix: a failure on a kept connection is believed only with the request's id

Refusals were already believed with the id alone, successes as well; failures and rejections were not covered. Cause: the rule was made for each status, not for the connection on which a copy can arrive. Change: on a connection that was used before, no response without the request's id is believed. Servers repeat the id in all responses to requests that have one, and requests without one are rejected here. On a new connection, where no earlier request can have left a copy, a failure without an id is passed on as before. All tests of the platform folder green.

--- a/crates/wb-gateway/src/proxy/claim.rs
+++ b/crates/wb-gateway/src/proxy/claim.rs
@@ -22,8 +22,9 @@
 
 impl Claim {
     /// Reads the head of a response to a request. A faulty server may send a response twice, and the
-    /// second copy may arrive where the response to the next request is expected. So whether a request
-    /// was executed is only believed if the response carries its id.
+    /// second copy may arrive where the response to the next request is expected. So a response on a
+    /// connection that was used before, and one that says that the request was not executed, is only
+    /// believed if it carries the request's id.
     pub fn of(context: &Context, routed: &RoutedRequest, response: &PooledResponse) -> Self {
         let names = &context.headers;
         let headers = response.headers();
@@ -32,6 +33,11 @@
         if echoed.is_some_and(|echoed| echoed != routed.id) {
             return Self::Invalid("response carries another request id");
         }
+        if echoed.is_none() && response.body().idle_time().is_some() {
+            return Self::Invalid(
+                "response without request id on a connection that was used before",
+            );
+        }
         let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         let not_executed = headers.contains_key(&names.not_executed);
         if (misdirected || not_executed) && echoed.is_none() {
