fix: an ending instance that has not seen how long a route takes sends only what is sure to end

The instance had been up for five seconds and had seen no response of the route, so that a quarter of the latency target (125 ms) counted as its usual duration; it is 600 ms there, and one in ten requests takes seven times as long. Cause: a guess that is good enough to estimate waits decided whether an answer would come in time. Change: without a known duration, a request is taken only if its deadline lies before the end. Test: request_of_unknown_duration_that_may_outlast_the_instance_is_sent failed before.

--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -135,11 +135,17 @@
         &mut self.retry_budget
     }
 
-    /// Moving average of the duration of a route's requests. Until one was seen, a share of the
-    /// route's latency target, or the average over all routes if it has none.
+    /// Moving average of the duration of a route's requests; `None` until one was seen.
+    pub(super) fn known_duration(&self, route: &str) -> Option<Duration> {
+        let seconds = self.route_durations.get(route)?;
+        Some(Duration::from_secs_f64(*seconds))
+    }
+
+    /// The same, but until one was seen, a share of the route's latency target, or the average over
+    /// all routes if it has none.
     pub fn typical_duration(&self, route: &str, target: Duration) -> Duration {
-        match self.route_durations.get(route) {
-            Some(seconds) => Duration::from_secs_f64(*seconds),
+        match self.known_duration(route) {
+            Some(duration) => duration,
             None if target.is_zero() => Duration::from_secs_f64(self.mean_duration),
             None => target / TARGET_RATIO,
         }
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -45,7 +45,7 @@
 
     /// Whether this instance ends before a request that is sent now would be answered.
     pub(super) fn ends_before(&self, request: &RequestInfo, now: Moment) -> bool {
-        let typical = self.typical_duration(&request.route, request.target_latency);
+        let typical = self.known_duration(&request.route);
         self.closing
             .is_some_and(|closing| !closing.admits(request, typical, now))
     }
--- a/crates/wb-balance/src/closing.rs
+++ b/crates/wb-balance/src/closing.rs
@@ -27,10 +27,11 @@
 }
 
 impl Closing {
-    /// Whether a request that usually takes `typical` would be answered in time if it were sent now.
-    pub fn admits(&self, request: &RequestInfo, typical: Duration, now: Moment) -> bool {
+    /// Whether a request would be answered in time if it were sent now. `typical` is how long it
+    /// usually takes, if that is known.
+    pub fn admits(&self, request: &RequestInfo, typical: Option<Duration>, now: Moment) -> bool {
         let is_sure = request.deadline <= self.end;
-        let is_likely = now + typical * DURATIONS <= self.end;
+        let is_likely = typical.is_some_and(|typical| now + typical * DURATIONS <= self.end);
         is_sure || (is_likely && request.arrived <= self.begin + UNSURE_TIME)
     }
 }
--- a/crates/wb-balance/tests/closing.rs
+++ b/crates/wb-balance/tests/closing.rs
@@ -69,7 +69,7 @@
             let closing = Closing { begin: at(1000), end: at(60_000) };
             let now = at($arrived);
             let request = RequestInfo { deadline: at($deadline), ..request(false, now) };
-            assert_eq!(closing.admits(&request, USUAL, now), $admitted);
+            assert_eq!(closing.admits(&request, Some(USUAL), now), $admitted);
         }
     )+};
 }
@@ -80,6 +80,25 @@
     request_that_arrives_late_and_ends_before_the_instance_is_refused: arrived 4100, deadline 59_000 => true;
 }
 
+#[test]
+fn request_of_unknown_duration_that_may_outlast_the_instance_is_sent() {
+    let mut balancer = service(2, 6);
+    balancer.close(Closing {
+        begin: at(0),
+        end: at(END),
+    });
+    let unsure = RequestInfo {
+        deadline: at(2 * END),
+        ..request(false, at(0))
+    };
+    let sure = RequestInfo {
+        deadline: at(END),
+        ..unsure.clone()
+    };
+    assert_matches!(balancer.admit(unsure, at(0)), Decision::Refuse(_));
+    assert_matches!(balancer.admit(sure, at(0)), Decision::Send(_));
+}
+
 #[test]
 fn request_that_ends_before_the_instance_is_refused() {
     let mut balancer = closing(2, 6);
