fix: an instance that can't read the routes waits between its calls

An instance without routes, or whose history of them is gone, repeated its call without any pause once it had been woken while calls failed: 65,920 calls to the stand-in in two seconds. On the users' platform, such an instance takes the calls of all others, which are then refused and learn of nothing, leaving servers included. Cause: a wakeup during the pause was stored again for the next call, which reads it only while it waits for newer routes. A read of all routes does not, so the wakeup ended every further pause. Change: a wakeup during the pause makes the next call a read, and ends the pause no sooner than 100 ms after the failure, since heartbeats with newer routes arrive all the time. Class: retries that are driven by news, without a bound.

--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -25,6 +25,8 @@
 /// Pause after newer routes, so that edits in quick succession are read together; short compared
 /// with the time in which they must take effect.
 const COALESCE_PAUSE: Duration = Duration::from_millis(250);
+/// Shortest wait after a failed call, also if newer routes are announced all the time.
+const URGENT_WAIT: Duration = Duration::from_millis(100);
 /// Time for the platform to answer before other instances are asked as well: a few usual response
 /// times.
 const PEER_DELAY: Duration = Duration::from_millis(300);
@@ -35,8 +37,9 @@
 pub async fn run(context: Arc<Context>) {
     let mut monitor = CallMonitor::new("routes");
     let mut backoff = Backoff::new();
+    let mut urgent = false;
     loop {
-        let result = poll(&context).await;
+        let result = poll(&context, std::mem::take(&mut urgent)).await;
         monitor.record(&context, &result);
         match result {
             Ok(routes) => {
@@ -48,11 +51,11 @@
             Err(Error::Compacted) => context.state().read_version = 0,
             Err(_) => {
                 sync_from_peers(&context).await;
+                tokio::time::sleep(URGENT_WAIT).await;
                 tokio::select! {
                     () = backoff.wait() => {}
-                    // Another instance has newer routes. The permit is stored again for the next
-                    // poll.
-                    () = context.routes_wakeup.notified() => context.routes_wakeup.notify_one(),
+                    // Another instance has newer routes, for example.
+                    () = context.routes_wakeup.notified() => urgent = true,
                 }
             }
         }
@@ -60,10 +63,10 @@
 }
 
 /// Waits for newer routes. Reads the newest at once if none are known yet or another instance has
-/// newer ones.
-async fn poll(context: &Context) -> Result<Routes, Error> {
+/// newer ones, which is `urgent` if that is known already.
+async fn poll(context: &Context, urgent: bool) -> Result<Routes, Error> {
     let version = context.state().read_version;
-    if version == 0 {
+    if urgent || version == 0 {
         return fetch_newest(context).await;
     }
     tokio::select! {
--- a/crates/wb-stand/src/published/store.rs
+++ b/crates/wb-stand/src/published/store.rs
@@ -24,6 +24,8 @@
 
 /// Header with the era of the store, which rises with each restored backup.
 const ERA: &str = "store-era";
+/// Path of the call that reads a whole table.
+const TABLE_PATH: &str = "/-/rows-get";
 /// Number of changes that are kept for feeds.
 const HISTORY_MAX: usize = 2000;
 
@@ -41,6 +43,8 @@
     LoseResponse,
     /// After this delay.
     Slow(Duration),
+    /// With status 503 to reads of a whole table, and normally to other calls.
+    NoTables,
     /// At once, with a response that takes this long to arrive.
     SlowResponse(Duration),
 }
@@ -284,13 +288,16 @@
             inner.mode
         };
         match mode {
-            Mode::Normal | Mode::LoseResponse | Mode::SlowResponse(_) => {}
+            Mode::NoTables if path == TABLE_PATH => {
+                return reply::empty_response(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            Mode::Normal | Mode::NoTables | Mode::LoseResponse | Mode::SlowResponse(_) => {}
             Mode::Unavailable => return reply::empty_response(StatusCode::SERVICE_UNAVAILABLE),
             Mode::Hang => return std::future::pending().await,
             Mode::Slow(delay) => tokio::time::sleep(delay).await,
         }
         let response = match path.as_str() {
-            "/-/rows-get" => self.get(&query),
+            TABLE_PATH => self.get(&query),
             "/-/rows-feed" => self.feed(&query).await,
             "/-/rows-tx" => match reply::read::<Value>(request.into_body()).await {
                 Ok(call) => self.transact(&call),
