fix: an instance whose history of the server list is gone waits between its calls

While the platform refused to read the whole list to an instance whose history of it was gone, the instance repeated both calls without any pause: 50,586 calls to the stand-in in two seconds. Cause: the read after a gone history was made in a branch of its own, which logged its failure and went on. Change: it is part of the call that found the history gone, so that its failure is waited for as any other. Test: servers_whose_history_is_gone_are_asked_for_without_a_pause failed before (50,586 calls; bound 60).

--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -52,8 +52,12 @@
             continue;
         };
         let begin = context.now();
-        let result = read(&context, reading).await;
+        let mut result = read(&context, reading).await;
         monitor.record(&context, &result);
+        if result == Err(Error::Compacted) {
+            result = read_all(&context).await;
+            monitor.record(&context, &result);
+        }
         match result {
             Ok(()) => {
                 backoff.reset();
@@ -64,7 +68,6 @@
                 };
                 tokio::time::sleep(pause).await;
             }
-            Err(Error::Compacted) => reread_all(&context).await,
             Err(_) => {
                 context.state().listing.record_failure(begin, context.now());
                 watching &= reading != Reading::Whole;
@@ -149,18 +152,6 @@
     Ok(())
 }
 
-async fn reread_all(context: &Context) {
-    let begin = context.now();
-    if let Err(err) = read_all(context).await {
-        line!(
-            Event::PlatformDown,
-            call = "servers",
-            error = err.to_string()
-        );
-        context.state().listing.record_failure(begin, context.now());
-    }
-}
-
 async fn read_all(context: &Context) -> Result<(), Error> {
     let begin = context.now();
     let servers = context.catalog.servers().await?;
