--- a/crates/wb-soak/tests/soak.rs
+++ b/crates/wb-soak/tests/soak.rs
@@ -27,4 +27,6 @@
     seed_6001: 6001, 6, 5, 15, false;
     // Requests that were taken late in the grace were cut, and answers of servers got lost.
     planned_201: 201, 6, 5, 15, true;
+    // A route whose duration the ending instance had not seen counted as a fast one.
+    planned_9601: 9601, 6, 5, 15, true;
 }
