--- a/crates/wb-balance/src/closing.rs
+++ b/crates/wb-balance/src/closing.rs
@@ -13,8 +13,8 @@
 /// requests take seven times as long as usual.
 const DURATIONS: u32 = 8;
 /// Time after the stop signal in which requests are taken that are only likely to be answered in time.
-/// A hanging server would make the others wait until they are given up at the end; callers who send
-/// that late are better refused at once.
+/// A later one that its server holds would be given up at the end, while its caller can still go
+/// elsewhere.
 const UNSURE_TIME: Duration = Duration::from_secs(3);
 
 /// The end of an instance.
--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -54,7 +54,7 @@
                 tokio::time::sleep(URGENT_WAIT).await;
                 tokio::select! {
                     () = backoff.wait() => {}
-                    // Another instance has newer routes, for example.
+                    // Another instance may have newer routes.
                     () = context.routes_wakeup.notified() => urgent = true,
                 }
             }
@@ -62,8 +62,8 @@
     }
 }
 
-/// Waits for newer routes. Reads the newest at once if none are known yet or another instance has
-/// newer ones, which is `urgent` if that is known already.
+/// Waits for newer routes. Reads the newest at once if that is `urgent`, none are known yet or
+/// another instance announces newer ones.
 async fn poll(context: &Context, urgent: bool) -> Result<Routes, Error> {
     let version = context.state().read_version;
     if urgent || version == 0 {
--- a/crates/wb-soak/src/check.rs
+++ b/crates/wb-soak/src/check.rs
@@ -14,7 +14,7 @@
 
 /// Time after which a server that announced that it leaves must get no new requests.
 const LEAVING_GRACE: Duration = Duration::from_secs(2);
-/// Time after a fault for which it still excuses what it excuses.
+/// Time for which a fault still excuses requests after it is over.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Faults of the store, whose acknowledgements bind nobody meanwhile.
 const STORE_FAULTS: [&str; 4] = [
