test: runs of the soak at the same time have addresses of their own

Both processes number their requests alike. Cause: the subnet followed from the process id and the number of the run, so that two processes started one after the other meet in it sooner or later. Change: a run takes the first subnet on whose store address nobody listens.

--- a/crates/wb-soak/src/testbed.rs
+++ b/crates/wb-soak/src/testbed.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::fs::File;
+use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -10,8 +11,6 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -35,10 +34,12 @@
 use wb_stand::published::store::StoreHandler;
 use wb_stand::relay::Relay;
 
-/// Number of runs in this process so far.
-static RUNS: AtomicU32 = AtomicU32::new(0);
-/// Distance between the addresses of two runs of a process.
-const RUN_STRIDE: u32 = 67;
+/// Number of subnets of the loopback network, of which each run at a time has one.
+const SUBNETS: u32 = 200;
+/// Second octet of the first of them.
+const SUBNET_MIN: u32 = 20;
+/// Port of the store, which only the run that has the subnet can listen on.
+const STORE_PORT: u16 = 8150;
 /// Share of the faults before which the store is backed up.
 const BACKUP_SHARE: f64 = 0.2;
 /// Longest time until all instances are ready.
@@ -152,8 +153,7 @@
     backup: Backup,
     /// Version of the configuration last written.
     pub version: u64,
-    /// Second octet of all addresses. Taken from the process id and the number of the run, so that
-    /// concurrent runs rarely share addresses.
+    /// Second octet of all addresses.
     subnet: u8,
     /// Keeps the store's listener running until dropped.
     _shutdown: tokio::sync::watch::Sender<bool>,
@@ -167,11 +167,9 @@
     /// When a file can't be written, an address can't be bound or a process can't be started.
     pub async fn start(options: Options) -> eyre::Result<Self> {
         fs::create_dir_all(&options.out).wrap_err("failed to create the output folder")?;
-        let run = RUNS.fetch_add(1, Ordering::Relaxed);
-        let subnet = (std::process::id().wrapping_add(run * RUN_STRIDE) % 200) as u8 + 20;
+        let (subnet, listener) = claim_subnet().await?;
         let store = Arc::new(Store::default());
         let (shutdown, stopped) = tokio::sync::watch::channel(false);
-        let listener = TcpListener::bind((Ipv4Addr::new(127, subnet, 250, 1), 0)).await?;
         let address = listener.local_addr()?;
         let handler = Arc::new(StoreHandler(store.clone()));
         tokio::spawn(serve::serve(
@@ -398,6 +396,20 @@
     }
 }
 
+/// Takes a subnet that no other run has. Returns its second octet, and the listener of the store.
+async fn claim_subnet() -> eyre::Result<(u8, TcpListener)> {
+    for index in 0..SUBNETS {
+        let subnet = (std::process::id() + index) % SUBNETS + SUBNET_MIN;
+        let subnet = subnet as u8;
+        let ip = Ipv4Addr::new(127, subnet, 250, 1);
+        match TcpListener::bind((ip, STORE_PORT)).await {
+            Err(err) if err.kind() == io::ErrorKind::AddrInUse => {}
+            result => return Ok((subnet, result?)),
+        }
+    }
+    bail!("all subnets are in use")
+}
+
 impl Drop for Testbed {
     fn drop(&mut self) {
         self.stop();
