test: a fault of the soak begins before it is injected

The soak took the time of a fault after its injection, and the caller noticed the closed connection before that. Change: the time is taken before.

--- a/crates/wb-soak/src/faults.rs
+++ b/crates/wb-soak/src/faults.rs
@@ -26,7 +26,7 @@
 pub struct Fault {
     /// One of the names in `FAULTS` or `PLANNED`.
     pub name: &'static str,
-    /// When the fault had been injected.
+    /// When the fault began.
     pub at: Instant,
     /// When the fault was over.
     pub until: Instant,
@@ -185,8 +185,8 @@
             _ => FAULT_MAX_MS,
         };
         let due = Instant::now() + Duration::from_millis(rng.random_range(200..longest));
-        let repairs = inject(testbed, name, rng).await?;
         let at = Instant::now();
+        let repairs = inject(testbed, name, rng).await?;
         injected.push(Fault {
             name,
             at,
