gateway: log requests whose server ended while it had them

A cut connection stood in the log for a reset, a lost answer and a server that ended, and no line told whether two requests are the same. After a cut, an instance now waits 5 ms, looks whether another connection to the server is open and, if none is, opens one: if it is refused, the server has ended (E312, with a digest of method, host, path with query and body; counter servers_ended). A connection that is accepted is kept and used. No decision changes. A server that was due to leave, or that neither accepts nor refuses, doesn't count.

--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -65,6 +65,8 @@
     RosterStale = 310,
     /// A backend server that turned a request away asked for a pause.
     ServerPause = 311,
+    /// A backend server ended while it had a request.
+    ServerEnded = 312,
     /// A member's liveness changed.
     Member = 401,
     /// The homes or owners of a service changed.
--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -58,6 +58,8 @@
     pub limited_attempts: Family<ServiceLabels, Counter>,
     /// Servers with a known limit.
     pub limited_servers: Gauge,
+    /// Requests whose server ended while it had them.
+    pub servers_ended: Counter,
     /// Calls to the platform.
     pub platform_calls: Family<CallLabels, Counter>,
     /// Era of the platform's store.
@@ -105,6 +107,7 @@
             verdicts: Family::default(),
             limited_attempts: Family::default(),
             limited_servers: Gauge::default(),
+            servers_ended: Counter::default(),
             platform_calls: Family::default(),
             platform_era: Gauge::default(),
             requests_active: Gauge::default(),
@@ -149,6 +152,11 @@
             "Backend servers that have named a limit",
             self.limited_servers.clone(),
         );
+        registry.register(
+            "servers_ended",
+            "Requests whose backend server ended while it had them",
+            self.servers_ended.clone(),
+        );
         registry.register(
             "platform_calls",
             "Calls to the platform",
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -9,6 +9,7 @@
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
+use tokio::task::JoinHandle;
 use wb_balance::AttemptOutcome;
 use wb_balance::Evidence;
 use wb_balance::idle::may_be_stale;
@@ -24,6 +25,7 @@
 use wb_types::id::Moment;
 
 use super::claim::Claim;
+use super::crash;
 use super::leaving;
 use super::leaving::Receiver;
 use super::limit;
@@ -174,7 +176,13 @@
                 Some(idle_time) => slot.record_reuse(idle_time),
                 None => slot.explain_reset(true),
             }
-            finish(&context, &routed, checked, slot, started)
+            let broken = matches!(checked, CheckedResponse::Broken(_));
+            let investigation = broken.then(|| crash::investigate(&slot, started));
+            let outcome = finish(&context, &routed, checked, slot, started);
+            if let Some(investigation) = investigation {
+                wait_for(investigation).await;
+            }
+            outcome
         }
         Some(Err(SendError::NotSent { request, .. })) if reused => {
             return Err(Box::new((slot, *request)));
@@ -184,7 +192,10 @@
         }
         Some(Err(SendError::NoResponse { reason, idle_time })) => {
             let took = context.now().saturating_sub(started);
-            handle_reset(&routed, slot, &reason, idle_time, took)
+            let investigation = crash::investigate(&slot, started);
+            let outcome = handle_reset(&routed, slot, &reason, idle_time, took);
+            wait_for(investigation).await;
+            outcome
         }
         None => {
             log_failure(
@@ -200,6 +211,13 @@
     Ok(outcome)
 }
 
+/// Waits until it is known whether a server has ended, so that the request is not sent again before.
+async fn wait_for(investigation: JoinHandle<()>) {
+    if let Err(err) = investigation.await {
+        line!(Event::AttemptFailed, error = err.to_string());
+    }
+}
+
 /// Sends a request, and records what the response says about its server. Returns the response, and how
 /// long the connection was idle before.
 async fn receive(
@@ -321,6 +339,8 @@
     Shed,
     Misdirected,
     Invalid(String),
+    /// The connection was cut in the body.
+    Broken(String),
 }
 
 /// Checks a response, and buffers it if it is small.
@@ -349,7 +369,7 @@
         Ok(Prefix::Part(_)) => {
             CheckedResponse::Invalid(format!("{status} with more than {BUFFER_MAX} bytes"))
         }
-        Err(err) => CheckedResponse::Invalid(err.to_string()),
+        Err(err) => CheckedResponse::Broken(err.to_string()),
     }
 }
 
@@ -408,7 +428,7 @@
             let (mut parts, stream) = response.into_parts();
             parts.headers = end_to_end(&parts.headers);
             let remaining = routed.deadline.saturating_sub(context.now());
-            let streamed = StreamedBody::new(prefix, stream, slot, took, remaining);
+            let streamed = StreamedBody::new(prefix, stream, slot, started, took, remaining);
             Outcome::Response(Response::from_parts(parts, body::boxed(streamed)))
         }
         CheckedResponse::Shed => {
@@ -422,7 +442,7 @@
             slot.release(AttemptOutcome::Misdirected);
             not_executed("misdirected")
         }
-        CheckedResponse::Invalid(error) => {
+        CheckedResponse::Invalid(error) | CheckedResponse::Broken(error) => {
             log_failure(routed, &slot, "spoilt", &error);
             slot.release(AttemptOutcome::Failure(Evidence::Cut));
             Outcome::Indeterminate { reason: "spoilt" }
--- /dev/null
+++ b/crates/wb-gateway/src/proxy/crash.rs
@@ -0,0 +1,91 @@
+//! Backend servers that end while they have a request.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+use wb_event::Event;
+use wb_event::line;
+use wb_http::pool::SendOptions;
+use wb_members::listing::Lifetime;
+use wb_types::id::Moment;
+use wb_types::roster::Lifecycle;
+use wb_types::roster::Server;
+
+use super::request_key;
+use super::routed::RoutedRequest;
+use super::slot::Slot;
+use crate::Context;
+
+/// Time in which all connections of a process that has ended are known to be closed.
+const SETTLE_TIME: Duration = Duration::from_millis(5);
+/// Longest time for a connection that shows whether the server still listens: some round trips
+/// between failure domains. A server that neither accepts nor refuses may be cut off.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Finds out in a task of its own whether the server of a slot has ended, after its connection was cut
+/// in an attempt that began at the time `began`.
+pub fn investigate(slot: &Slot, began: Moment) -> JoinHandle<()> {
+    let attempt = CutAttempt {
+        server: slot.assignment.server.clone(),
+        lifetime: slot.lifetime,
+        options: slot.send_options(),
+        began,
+    };
+    tokio::spawn(attempt.investigate(slot.context.clone(), slot.routed.clone()))
+}
+
+/// An attempt whose connection was cut.
+struct CutAttempt {
+    server: Server,
+    /// Start of the server's process; `None` if it has left the list meanwhile.
+    lifetime: Option<Lifetime>,
+    options: SendOptions,
+    /// When the attempt began.
+    began: Moment,
+}
+
+impl CutAttempt {
+    async fn investigate(self, context: Arc<Context>, routed: Arc<RoutedRequest>) {
+        let (Some(lifetime), Some(key)) = (self.lifetime, routed.key()) else {
+            return;
+        };
+        if !self.has_ended(&context).await || self.was_leaving(&context, lifetime) {
+            return;
+        }
+        context.metrics.servers_ended.inc();
+        line!(
+            Event::ServerEnded,
+            request = routed.id,
+            key = request_key::text(key),
+            service = routed.service,
+            server = self.server.name,
+            started = lifetime,
+            ran_ms = context.now().saturating_sub(self.began).as_millis() as u64
+        );
+    }
+
+    /// Whether the server's process has ended: none of its connections is left, and it refuses new
+    /// ones. A connection that it accepts is kept for later requests.
+    async fn has_ended(&self, context: &Context) -> bool {
+        tokio::time::sleep(SETTLE_TIME).await;
+        let address = self.server.address;
+        if context.pool.has_idle(address) {
+            return false;
+        }
+        let opening = context.pool.open(address, self.options);
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await;
+        matches!(opened, Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
+    /// Whether the server was due to end.
+    fn was_leaving(&self, context: &Context, lifetime: Lifetime) -> bool {
+        let state = context.state();
+        let entry = state.listing.entries().get(&self.server.name);
+        let live = entry.is_some_and(|entry| {
+            entry.started == lifetime && entry.server.lifecycle == Lifecycle::Live
+        });
+        !live
+    }
+}
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -6,6 +6,8 @@
 //! - [`slot`]: slots at backend servers.
 //! - [`attempt`]: one attempt at one server.
 //! - [`claim`]: what the head of a response says about the request.
+//! - [`request_key`]: when two requests are the same.
+//! - [`crash`]: servers that end while they have a request.
 //! - [`limit`]: what a response says about the limit of its server.
 //! - [`leaving`]: servers that say in a response that they are leaving.
 //! - [`pause`]: pauses that servers ask for when they turn a request away.
@@ -15,11 +17,13 @@
 
 pub mod attempt;
 pub mod claim;
+pub mod crash;
 pub mod forward;
 pub mod leaving;
 pub mod limit;
 pub mod pause;
 pub mod payload;
+pub mod request_key;
 pub mod response;
 pub mod routed;
 pub mod slot;
@@ -66,6 +70,7 @@
                 return response::reject(context, Some(&routed), None, &rejection);
             }
         };
+        routed.set_key(request_key::of(&routed.head, &payload));
         forward::run(context, &routed, payload, &mut record).await
     }
 }
--- a/crates/wb-gateway/src/proxy/payload.rs
+++ b/crates/wb-gateway/src/proxy/payload.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Returns the body if it is buffered.
+    pub fn buffered(&self) -> Option<&Bytes> {
+        match self {
+            Self::Buffered(bytes) => Some(bytes),
+            Self::Streaming(_) => None,
+        }
+    }
+
     /// Takes back a body of which nothing was sent.
     pub fn restore_body(&mut self, body: Body) {
         if let Self::Streaming(stream) = self {
--- a/crates/wb-gateway/src/proxy/routed.rs
+++ b/crates/wb-gateway/src/proxy/routed.rs
@@ -1,6 +1,7 @@
 //! Route and deadline of a request.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -9,6 +10,7 @@
 use wb_http::serve::ReceivedAt;
 use wb_route::Route;
 use wb_types::id::Moment;
+use wb_types::id::RequestKey;
 use wb_types::id::ServiceName;
 
 use crate::Context;
@@ -69,6 +71,7 @@
     pub body_max: u64,
     /// Its head.
     pub head: Parts,
+    key: OnceLock<RequestKey>,
 }
 
 impl RoutedRequest {
@@ -93,10 +96,7 @@
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
             return Err(Rejection::new(status, "head_too_large"));
         }
-        let header = head.headers.get(http::header::HOST);
-        let host = header.and_then(|host| host.to_str().ok());
-        let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-        let Some(route) = routes.find(host, head.uri.path()) else {
+        let Some(route) = routes.find(host(&head), head.uri.path()) else {
             return Err(Rejection::new(StatusCode::NOT_FOUND, "no_route"));
         };
         let Some(id) = header_text(&head.headers, &context.headers.request_id) else {
@@ -120,8 +120,20 @@
             body_max: routes.limits.body_bytes,
             route: route.clone(),
             head,
+            key: OnceLock::new(),
         })
     }
+
+    /// Sets the key, once the body has been read.
+    pub fn set_key(&self, key: RequestKey) {
+        self.key.get_or_init(|| key);
+    }
+
+    /// Key by which the request is recognized when it comes again; `None` before the body has been
+    /// read.
+    pub fn key(&self) -> Option<RequestKey> {
+        self.key.get().copied()
+    }
 }
 
 impl RoutedRequest {
@@ -137,6 +149,12 @@
     }
 }
 
+/// Returns the host that a request is for; empty if it names none.
+pub fn host(head: &Parts) -> &str {
+    let header = header_text(&head.headers, &http::header::HOST);
+    header.or_else(|| head.uri.host()).unwrap_or_default()
+}
+
 /// Returns a header as text, if it is present and valid.
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -31,8 +31,8 @@
     pub assignment: Box<Assignment>,
     /// Start of the server's process; `None` if it has left the list meanwhile.
     pub lifetime: Option<Lifetime>,
-    context: Arc<Context>,
-    routed: Arc<RoutedRequest>,
+    pub(super) context: Arc<Context>,
+    pub(super) routed: Arc<RoutedRequest>,
     released: bool,
     overdue: bool,
 }
--- a/crates/wb-gateway/src/proxy/streamed.rs
+++ b/crates/wb-gateway/src/proxy/streamed.rs
@@ -13,7 +13,9 @@
 use wb_balance::Evidence;
 use wb_http::body::BoxError;
 use wb_http::pool::ResponseBody;
+use wb_types::id::Moment;
 
+use super::crash;
 use super::slot::Slot;
 
 /// Body of a streamed response. Holds the slot until the body has ended. A body that has not ended
@@ -23,6 +25,8 @@
     prefix: Option<Bytes>,
     body: ResponseBody,
     slot: Option<Slot>,
+    /// When the attempt began.
+    began: Moment,
     /// Time from the start of the attempt to the first bytes of the body.
     took: Duration,
     deadline: Pin<Box<Sleep>>,
@@ -34,10 +38,12 @@
         prefix: Bytes,
         body: ResponseBody,
         slot: Slot,
+        began: Moment,
         took: Duration,
         remaining: Duration,
     ) -> Self {
         Self {
+            began,
             prefix: Some(prefix).filter(|prefix| !prefix.is_empty()),
             body,
             slot: Some(slot),
@@ -72,7 +78,13 @@
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         match &frame {
             Some(Ok(_)) => {}
-            Some(Err(_)) => self.release(AttemptOutcome::Failure(Evidence::Cut)),
+            Some(Err(_)) => {
+                if let Some(slot) = &self.slot {
+                    // Goes on by itself.
+                    drop(crash::investigate(slot, self.began));
+                }
+                self.release(AttemptOutcome::Failure(Evidence::Cut));
+            }
             None => {
                 if let Some(slot) = self.slot.take() {
                     let outcome = slot.success(self.took);
--- a/crates/wb-http/src/pool/mod.rs
+++ b/crates/wb-http/src/pool/mod.rs
@@ -9,6 +9,7 @@
 mod send;
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -168,6 +169,26 @@
         hosts.get(&address).map_or(0, |host| host.open)
     }
 
+    /// Whether an idle connection to a server is open.
+    pub fn has_idle(&self, address: SocketAddr) -> bool {
+        let hosts = self.inner.hosts.lock().expect("lock is not poisoned");
+        let idle = hosts.get(&address).map(|host| &host.idle);
+        idle.is_some_and(|idle| idle.iter().any(|idle| !idle.sender.is_closed()))
+    }
+
+    /// Opens a connection to a server and keeps it for a later request.
+    ///
+    /// # Errors
+    ///
+    /// If none can be opened.
+    pub async fn open(&self, address: SocketAddr, options: SendOptions) -> io::Result<()> {
+        let mut idle = self.connect(address, options).await?;
+        // The server may close it before it is used, as one that was used before.
+        idle.reused = true;
+        self.put_idle(idle);
+        Ok(())
+    }
+
     /// Closes all idle connections to a server, for use after a timeout: if one connection is dead,
     /// the others may be too.
     pub fn close_idle(&self, address: SocketAddr) {
--- a/crates/wb-types/src/id.rs
+++ b/crates/wb-types/src/id.rs
@@ -23,5 +23,7 @@
 pub type EditId = Arc<str>;
 /// Id of a request, unique in the fleet: `<instance>-<incarnation>-<count>`.
 pub type RequestId = Arc<str>;
+/// Digest of what makes two requests the same, whatever attempt, caller or instance they come from.
+pub type RequestKey = u128;
 /// Time since a fixed origin: the start of the process, or of the virtual clock in a test.
 pub type Moment = Duration;
