test: a request that crashes each server that runs it

The stand-in of a server plays it: the process ends with all its connections, refuses new ones, and starts again under its id after a while.

--- a/crates/wb-stand/src/published/fixtures.rs
+++ b/crates/wb-stand/src/published/fixtures.rs
@@ -67,16 +67,29 @@
     })
 }
 
+/// Start of the first process of each server, in Unix milliseconds.
+const BORN: u64 = 1_700_000_000_000;
 /// Number of server rows so far: each has a higher count of writes than those before.
 static SERVER_ROWS: AtomicU64 = AtomicU64::new(1);
 
-/// Returns the row that a server publishes about itself.
+/// Returns the row that the first process of a server publishes about itself.
 pub fn server_row(address: SocketAddr, service: &str, zone: &str, state: &str) -> Value {
+    restarted_row(address, service, zone, state, 0)
+}
+
+/// Returns the row that a process of a server publishes about itself, the first one being number 0.
+pub fn restarted_row(
+    address: SocketAddr,
+    service: &str,
+    zone: &str,
+    state: &str,
+    start: u64,
+) -> Value {
     let seq_no = SERVER_ROWS.fetch_add(1, Ordering::Relaxed);
     json!({
         "address": address.to_string(),
         "info": {"service": service, "version": "v1", "zone": zone, "slots": 6},
         "status": {"state": state, "seq_no": seq_no, "warmup_left_ms": 0},
-        "born": 1_700_000_000_000_u64,
+        "born": BORN + start,
     })
 }
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -23,6 +23,8 @@
 use rand::Rng;
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 use wb_http::Body;
 use wb_http::body;
 
@@ -45,6 +47,8 @@
 
 /// Ratio of the duration of a slow request to that of others, as in the users' deployments.
 const SLOW_FACTOR: u32 = 7;
+/// Time from the moment at which an ending process accepts no connections until they are all closed.
+const END_TIME: Duration = Duration::from_millis(20);
 /// Limit of waiting requests at a server; further ones are shed.
 const QUEUE_MAX: u32 = 24;
 
@@ -66,10 +70,22 @@
     pub started: Instant,
 }
 
-/// Requests that servers have executed, by request id.
+/// A request that made its server end.
+#[derive(Clone, Debug)]
+pub struct Crash {
+    /// Id of the request.
+    pub id: String,
+    /// Id of the server.
+    pub server: String,
+    /// When the server ended.
+    pub at: Instant,
+}
+
+/// Requests that servers have executed, by request id, and those that made them end.
 #[derive(Default)]
 pub struct Ledger {
     runs: Mutex<HashMap<String, Vec<Run>>>,
+    crashes: Mutex<Vec<Crash>>,
 }
 
 impl Ledger {
@@ -84,6 +100,16 @@
         self.runs.lock().expect("lock is not poisoned").clone()
     }
 
+    /// Returns the requests that made their servers end, in order.
+    pub fn crashes(&self) -> Vec<Crash> {
+        self.crashes.lock().expect("lock is not poisoned").clone()
+    }
+
+    fn add_crash(&self, crash: Crash) {
+        let mut crashes = self.crashes.lock().expect("lock is not poisoned");
+        crashes.push(crash);
+    }
+
     fn add(&self, id: &str, run: Run) {
         let mut runs = self.runs.lock().expect("lock is not poisoned");
         runs.entry(id.to_owned()).or_default().push(run);
@@ -183,6 +209,29 @@
     pause: Mutex<Option<Duration>>,
     arrivals: Mutex<Vec<Arrival>>,
     ledger: Arc<Ledger>,
+    /// Requests that make the server end.
+    crash_rule: Mutex<Option<CrashRule>>,
+    process: watch::Sender<Process>,
+}
+
+/// Requests that make a server end, and how long it stays down.
+#[derive(Clone, Debug)]
+pub struct CrashRule {
+    /// Path of the requests.
+    pub path: String,
+    /// Time until the server is back.
+    pub downtime: Duration,
+}
+
+/// State of a server's process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Process {
+    /// It runs; this is the number of its start, from 0.
+    Up(u64),
+    /// It ends now: no connection is accepted any more.
+    Ending,
+    /// It has ended, and its connections with it.
+    Down,
 }
 
 impl Server {
@@ -199,8 +248,10 @@
             pause: Mutex::default(),
             arrivals: Mutex::default(),
             ledger,
+            crash_rule: Mutex::default(),
+            process: watch::Sender::new(Process::Up(0)),
         });
-        tokio::spawn(accept(listener, server.clone()));
+        tokio::spawn(run(listener, server.clone()));
         server
     }
 
@@ -214,6 +265,49 @@
         *self.behaviour.lock().expect("lock is not poisoned") = behaviour;
     }
 
+    /// Sets which requests make the server end.
+    pub fn set_crash_rule(&self, rule: Option<CrashRule>) {
+        *self.crash_rule.lock().expect("lock is not poisoned") = rule;
+    }
+
+    /// Watches the server's process.
+    pub fn watch_process(&self) -> watch::Receiver<Process> {
+        self.process.subscribe()
+    }
+
+    /// Ends the server's process, and starts it again after `downtime`.
+    pub async fn end_process(&self, downtime: Duration) {
+        let Process::Up(start) = *self.process.borrow() else {
+            return;
+        };
+        self.process.send_replace(Process::Ending);
+        tokio::time::sleep(END_TIME).await;
+        self.process.send_replace(Process::Down);
+        tokio::time::sleep(downtime).await;
+        self.process.send_replace(Process::Up(start + 1));
+    }
+
+    /// Ends the server if the request is one that makes it end. The response never comes.
+    async fn crash(self: &Arc<Self>, id: &str, path: &str) {
+        let rule = self
+            .crash_rule
+            .lock()
+            .expect("lock is not poisoned")
+            .clone();
+        let Some(rule) = rule.filter(|rule| rule.path == path) else {
+            return;
+        };
+        self.ledger.add_crash(Crash {
+            id: id.to_owned(),
+            server: self.id.clone(),
+            at: Instant::now(),
+        });
+        let server = self.clone();
+        // Goes on when the connections of the process are closed.
+        tokio::spawn(async move { server.end_process(rule.downtime).await });
+        std::future::pending().await
+    }
+
     /// Sets the limit that the server names, in requests a second.
     pub fn set_limit(&self, limit: Option<f64>) {
         *self.limit.lock().expect("lock is not poisoned") = limit;
@@ -273,7 +367,7 @@
     }
 
     /// Handles a request, and says in the response, whatever it is, what it says of itself.
-    async fn respond(&self, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    async fn respond(self: &Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
         let behaviour = *self.behaviour.lock().expect("lock is not poisoned");
         let arrival = self.record_arrival(request.headers());
         let mut response = self.handle(request, behaviour).await?;
@@ -292,7 +386,7 @@
     }
 
     async fn handle(
-        &self,
+        self: &Arc<Self>,
         request: Request<Incoming>,
         behaviour: Behaviour,
     ) -> io::Result<Response<Body>> {
@@ -326,6 +420,7 @@
         self.busy.fetch_add(1, Ordering::Relaxed);
         let _busy = BusyGuard(&self.busy);
         tokio::time::sleep(behaviour.draw_duration()).await;
+        self.crash(&id, head.uri.path()).await;
         match action {
             Action::LoseResponse => Err(io::ErrorKind::ConnectionReset.into()),
             Action::Hang => std::future::pending().await,
@@ -413,7 +508,31 @@
     )))
 }
 
-async fn accept(listener: TcpListener, server: Arc<Server>) {
+/// Runs the processes of a server one after the other. Dropping the listener and the connections of
+/// one closes them.
+async fn run(listener: TcpListener, server: Arc<Server>) {
+    let mut process = server.watch_process();
+    let address = listener.local_addr().expect("the listener is bound");
+    let mut listener = Some(listener);
+    loop {
+        let mut connections = JoinSet::new();
+        if let Some(listener) = listener.take() {
+            let ending = process.wait_for(|process| *process == Process::Ending);
+            tokio::select! {
+                () = accept(&listener, &server, &mut connections) => {}
+                _ = ending => {}
+            }
+        }
+        // The server's own sender lives as long as the server.
+        let _ = process.wait_for(|process| *process == Process::Down).await;
+        connections.shutdown().await;
+        let up = process.wait_for(|process| matches!(process, Process::Up(_)));
+        let _ = up.await;
+        listener = TcpListener::bind(address).await.ok();
+    }
+}
+
+async fn accept(listener: &TcpListener, server: &Arc<Server>, connections: &mut JoinSet<()>) {
     while let Ok((stream, _)) = listener.accept().await {
         let server = server.clone();
         let service = service_fn(move |request| {
@@ -423,7 +542,10 @@
         let connection = http1::Builder::new()
             .half_close(false)
             .serve_connection(hyper_util::rt::TokioIo::new(stream), service);
-        // Connection errors are injected faults.
-        tokio::spawn(async move { connection.await.ok() });
+        connections.spawn(async move {
+            // Connection errors are injected faults.
+            connection.await.ok();
+        });
+        while connections.try_join_next().is_some() {}
     }
 }
