fix: a request that crashes each server that runs it is sent no more

Callers of a service whose servers a request had ended found it without servers; the users saw up to 24 servers ended by one request (BUDGET).

Cause: nothing recognized the request. Each attempt of a caller was a new one, each instance knew its own sends, and a cut counted against the server alone; a safe request was sent to a second server at once.

The end of a server while it had a request, unlike a cut, is evidence on the request, by server and start of its process, and told to all instances; reports hold all that is known and are united, so that they may be lost, doubled or late. From the first end on it isn't hedged, from the second on it is sent once per attempt of its caller.

--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -98,6 +98,8 @@
     Deadline,
     /// This instance ends too soon for a response.
     Leaving,
+    /// The request has crashed the servers that ran it.
+    Quarantined,
 }
 
 /// A refusal.
--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -45,6 +45,8 @@
     Failed = 209,
     /// The caller disconnected before the response.
     CallerGone = 210,
+    /// A request may crash the servers which run it, or was cleared of that.
+    RequestSuspected = 211,
     /// The health state of a backend server changed.
     Health = 301,
     /// A backend server was not ejected, since the capacity left would be below the floor.
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -18,6 +18,7 @@
 use wb_members::listing::freshness::Freshness;
 use wb_members::listing::freshness::Times;
 use wb_members::steering::Steering;
+use wb_quarantine::Quarantine;
 use wb_route::RouteTable;
 use wb_types::id::Moment;
 use wb_types::id::ServiceName;
@@ -53,6 +54,8 @@
     pub steering: Steering,
     /// Services by name.
     pub services: HashMap<ServiceName, Service>,
+    /// Requests that crash the servers which run them.
+    pub quarantine: Quarantine,
 }
 
 /// State shared by all parts of the daemon.
@@ -120,6 +123,7 @@
             freshness: Freshness::new(Times::within(parts.settings.bounds.drain)),
             steering,
             services: HashMap::new(),
+            quarantine: Quarantine::default(),
         };
         Self {
             pool: Pool::new(crate::proxy::attempt::POOL_OPTIONS),
--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -60,6 +60,8 @@
     pub limited_servers: Gauge,
     /// Requests whose server ended while it had them.
     pub servers_ended: Counter,
+    /// Requests that are held, since servers ended while they had them.
+    pub requests_held: Gauge,
     /// Calls to the platform.
     pub platform_calls: Family<CallLabels, Counter>,
     /// Era of the platform's store.
@@ -108,6 +110,7 @@
             limited_attempts: Family::default(),
             limited_servers: Gauge::default(),
             servers_ended: Counter::default(),
+            requests_held: Gauge::default(),
             platform_calls: Family::default(),
             platform_era: Gauge::default(),
             requests_active: Gauge::default(),
@@ -157,6 +160,11 @@
             "Requests whose backend server ended while it had them",
             self.servers_ended.clone(),
         );
+        registry.register(
+            "requests_held",
+            "Requests that are held, since backend servers ended while they had them",
+            self.requests_held.clone(),
+        );
         registry.register(
             "platform_calls",
             "Calls to the platform",
--- a/crates/wb-gateway/src/peers/mod.rs
+++ b/crates/wb-gateway/src/peers/mod.rs
@@ -8,6 +8,7 @@
 pub mod leaving;
 pub mod limits;
 pub mod packet;
+pub mod quarantine;
 pub mod receive;
 pub mod snapshot;
 pub mod socket;
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -14,6 +14,7 @@
 use wb_members::listing::ListVersion;
 use wb_members::listing::Update;
 use wb_members::steering::Card;
+use wb_quarantine::Report;
 use wb_types::id::InstanceName;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
@@ -88,6 +89,13 @@
         /// The servers, each with the start of its process.
         servers: Vec<(ServerName, Lifetime)>,
     },
+    /// Requests that may crash the servers which run them.
+    CrashReports {
+        /// Sender.
+        from: InstanceName,
+        /// What the sender knows of them.
+        reports: Vec<Report>,
+    },
 }
 
 /// What a response says about the limit of its server, as another instance reports it.
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -21,6 +21,7 @@
 use super::packet::Heartbeat;
 use super::packet::LimitReport;
 use super::packet::RequestCounts;
+use super::quarantine;
 use crate::Context;
 use crate::follow;
 
@@ -49,6 +50,7 @@
             line!(Event::Member, member = from, liveness = "left");
             heartbeat::update_homes(context, &mut state);
         }
+        Packet::CrashReports { from, reports } => quarantine::handle(context, &from, &reports),
         Packet::PlatformEra { era } => {
             // The era counts only once the platform itself has answered in it.
             if context.state().era < Some(era) {
@@ -90,6 +92,7 @@
             for packet in leaving::reports(&state) {
                 context.send_packet(packet, vec![peer]);
             }
+            quarantine::send_all(context, &state, None, &[peer]);
         }
     }
     let routes = state.routes.as_ref().map_or(0, |routes| routes.version);
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -94,7 +94,12 @@
             Err(reason) => return fail_unsent(&routed, slot, request, &reason),
         };
         if !slot.may_send() {
-            return withdraw(&routed, slot, request);
+            let error = "the server takes no more requests";
+            return withdraw(&routed, slot, request, error);
+        }
+        if routed.standing(&context).is_held() {
+            let error = "the request has crashed servers meanwhile";
+            return withdraw(&routed, slot, request, error);
         }
         let exchange = exchange(
             context.clone(),
@@ -254,14 +259,14 @@
     }
 }
 
-/// Ends an attempt whose server takes no more requests since the request was assigned to it.
-fn withdraw(routed: &RoutedRequest, slot: Slot, request: Request<Body>) -> Outcome {
-    log_failure(
-        routed,
-        &slot,
-        "withdrawn",
-        "the server takes no more requests",
-    );
+/// Ends an attempt that is no longer due since the request was assigned to its server.
+fn withdraw(
+    routed: &RoutedRequest,
+    slot: Slot,
+    request: Request<Body>,
+    error: &'static str,
+) -> Outcome {
+    log_failure(routed, &slot, "withdrawn", error);
     slot.release(AttemptOutcome::Inconclusive);
     Outcome::NotExecuted {
         reason: "withdrawn",
@@ -408,6 +413,7 @@
     let took = context.now().saturating_sub(started);
     match checked {
         CheckedResponse::Buffered(response) => {
+            crash::record_answer(context, routed);
             let failed = response.status().is_server_error();
             let outcome = if failed {
                 AttemptOutcome::Failure(Evidence::Failed)
--- a/crates/wb-gateway/src/proxy/crash.rs
+++ b/crates/wb-gateway/src/proxy/crash.rs
@@ -17,6 +17,7 @@
 use super::routed::RoutedRequest;
 use super::slot::Slot;
 use crate::Context;
+use crate::peers::quarantine;
 
 /// Time in which all connections of a process that has ended are known to be closed.
 const SETTLE_TIME: Duration = Duration::from_millis(5);
@@ -36,6 +37,20 @@
     tokio::spawn(attempt.investigate(slot.context.clone(), slot.routed.clone()))
 }
 
+/// Records that a server answered a request completely, and tells the other instances if that clears it
+/// of something.
+pub fn record_answer(context: &Context, routed: &RoutedRequest) {
+    let Some(key) = routed.key() else {
+        return;
+    };
+    let now = context.now();
+    let mut state = context.state();
+    if let Some(change) = state.quarantine.record_answer(key, now) {
+        quarantine::log_change(&change, Some(&routed.id), None);
+        quarantine::tell(context, &state, key);
+    }
+}
+
 /// An attempt whose connection was cut.
 struct CutAttempt {
     server: Server,
@@ -64,6 +79,14 @@
             started = lifetime,
             ran_ms = context.now().saturating_sub(self.began).as_millis() as u64
         );
+        let now = context.now();
+        let mut state = context.state();
+        let server = &self.server.name;
+        let quarantine = &mut state.quarantine;
+        if let Some(change) = quarantine.record_crash(key, server, lifetime, self.began, now) {
+            quarantine::log_change(&change, Some(&routed.id), None);
+            quarantine::tell(&context, &state, key);
+        }
     }
 
     /// Whether the server's process has ended: none of its connections is left, and it refuses new
--- a/crates/wb-gateway/src/proxy/forward.rs
+++ b/crates/wb-gateway/src/proxy/forward.rs
@@ -15,9 +15,11 @@
 use wb_balance::Refusal;
 use wb_balance::RequestInfo;
 use wb_balance::ServerKey;
+use wb_balance::balancer::RefusalCause;
 use wb_balance::hedge;
 use wb_balance::hedge::FirstAttempt;
 use wb_http::Body;
+use wb_quarantine::Standing;
 use wb_types::id::Moment;
 
 use super::attempt;
@@ -38,6 +40,10 @@
 /// Most attempts of a request that end without a byte sent: each takes up to half a second.
 const CONNECT_FAILURES_MAX: u32 = 4;
 
+/// Servers that ended while they had a request, from which it is sent to no second one in the same
+/// attempt of its caller.
+const SINGLE_SEND_CRASHES: usize = 2;
+
 /// An attempt in progress.
 type AttemptFuture = Pin<Box<dyn Future<Output = Outcome> + Send>>;
 
@@ -130,7 +136,14 @@
         }
     }
 
+    /// Sends the request to a server, unless it is held.
     async fn send(&mut self, kind: AttemptKind) -> Result<(), Refusal> {
+        if let Standing::Held { remaining, .. } = self.routed.standing(self.context) {
+            return Err(Refusal {
+                cause: RefusalCause::Quarantined,
+                retry_after: remaining,
+            });
+        }
         let request = self.request_info();
         let slot = slot::acquire(self.context, self.routed, request, kind).await?;
         let Some(body) = self.payload.take_body() else {
@@ -168,7 +181,9 @@
     fn until_hedge(&self) -> Option<Duration> {
         let route = &self.routed.route;
         let room = self.attempts < route.max_attempts;
-        let allowed = route.repeat.is_idempotent() && room && self.payload.is_available();
+        let unsuspected = self.routed.standing(self.context) == Standing::Clear;
+        let allowed =
+            route.repeat.is_idempotent() && room && self.payload.is_available() && unsuspected;
         let at = self.hedge_at.filter(|_| allowed)?;
         Some(at.saturating_sub(self.context.now()))
     }
@@ -225,7 +240,9 @@
         let room = self.attempts < routed.route.max_attempts
             && self.connect_failures < CONNECT_FAILURES_MAX;
         let time = self.context.now() < routed.deadline;
-        safe && room && time && self.payload.is_available() && self.in_flight.is_empty()
+        let harmless =
+            !self.maybe_run || routed.standing(self.context).crashes() < SINGLE_SEND_CRASHES;
+        safe && harmless && room && time && self.payload.is_available() && self.in_flight.is_empty()
     }
 
     fn answered(&self, response: Response<Body>, record: &mut RequestRecord) -> Response<Body> {
@@ -250,7 +267,7 @@
         }
         if !self.maybe_run {
             let refusal = Refusal {
-                cause: wb_balance::balancer::RefusalCause::NoServer,
+                cause: RefusalCause::NoServer,
                 retry_after: Duration::ZERO,
             };
             record.refused(&refusal, self.last_reason, self.attempts);
--- a/crates/wb-gateway/src/proxy/response.rs
+++ b/crates/wb-gateway/src/proxy/response.rs
@@ -8,11 +8,13 @@
 use http::StatusCode;
 use wb_balance::Refusal;
 use wb_balance::balancer::RETRY_AFTER_MIN;
+use wb_balance::balancer::RefusalCause;
 use wb_event::Event;
 use wb_event::line;
 use wb_http::Body;
 use wb_http::body;
 
+use super::request_key;
 use super::routed::Rejection;
 use super::routed::RoutedRequest;
 use crate::Context;
@@ -159,6 +161,7 @@
             suspects = balancer.suspect_count(),
             budget = balancer.retry_budget().remaining(now),
             reason = refusal.cause.to_string(),
+            key = held_key(&self.routed, refusal),
             last = last,
             sends = attempts,
             after_ms = refusal.retry_after.as_millis() as u64,
@@ -182,6 +185,12 @@
     }
 }
 
+/// Key of a request that is held, by which its evidence is found in the log.
+fn held_key(routed: &RoutedRequest, refusal: &Refusal) -> Option<String> {
+    let key = routed.key()?;
+    (refusal.cause == RefusalCause::Quarantined).then(|| request_key::text(key))
+}
+
 impl Drop for RequestRecord {
     fn drop(&mut self) {
         if self.ended {
--- a/crates/wb-gateway/src/proxy/routed.rs
+++ b/crates/wb-gateway/src/proxy/routed.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use http::request::Parts;
 use wb_http::serve::ReceivedAt;
+use wb_quarantine::Standing;
 use wb_route::Route;
 use wb_types::id::Moment;
 use wb_types::id::RequestKey;
@@ -129,6 +130,14 @@
         self.key.get_or_init(|| key);
     }
 
+    /// What is known of the request as one that may crash servers.
+    pub fn standing(&self, context: &Context) -> Standing {
+        let key = self.key();
+        key.map_or(Standing::Clear, |key| {
+            context.state().quarantine.standing(key, context.now())
+        })
+    }
+
     /// Key by which the request is recognized when it comes again; `None` before the body has been
     /// read.
     pub fn key(&self) -> Option<RequestKey> {
--- a/crates/wb-gateway/src/proxy/streamed.rs
+++ b/crates/wb-gateway/src/proxy/streamed.rs
@@ -87,6 +87,7 @@
             }
             None => {
                 if let Some(slot) = self.slot.take() {
+                    crash::record_answer(&slot.context, &slot.routed);
                     let outcome = slot.success(self.took);
                     slot.release(outcome);
                 }
--- a/crates/wb-gateway/src/start.rs
+++ b/crates/wb-gateway/src/start.rs
@@ -103,6 +103,7 @@
         tokio::spawn(peers::heartbeat::run(context.clone()));
         tokio::spawn(peers::heartbeat::send_counts(context.clone()));
         tokio::spawn(peers::limits::send(context.clone()));
+        tokio::spawn(peers::quarantine::send(context.clone()));
         tokio::spawn(release_queued(context.clone()));
         tokio::spawn(close_idle(context.clone()));
         Ok(Self {
