fix: the end of all instances frees requests that crash servers

An instance whose evidence holds a request now writes a row with it to the platform, and removes it when an answer clears the request; an instance that becomes a home reads the rows once and tells the others. One call more per home and start, none otherwise.

--- a/crates/wb-gateway/src/follow/mod.rs
+++ b/crates/wb-gateway/src/follow/mod.rs
@@ -4,6 +4,7 @@
 //! changes all the time, so only some homes follow it and broadcast the changes; an instance that
 //! has received none for too long reads the list itself.
 
+pub mod holds;
 pub mod members;
 pub mod routes;
 pub mod servers;
--- a/crates/wb-gateway/src/platform.rs
+++ b/crates/wb-gateway/src/platform.rs
@@ -9,8 +9,10 @@
 use wb_members::listing::ListVersion;
 use wb_members::listing::RowChange;
 use wb_members::steering::Card;
+use wb_quarantine::Report;
 use wb_route::RouteTable;
 use wb_types::id::InstanceName;
+use wb_types::id::RequestKey;
 
 /// Failed call to the platform.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -69,6 +71,15 @@
     pub errors: Vec<RowError>,
 }
 
+/// Requests that were held when their rows were written.
+#[derive(Clone, Debug, Default)]
+pub struct Holds {
+    /// What was known of them.
+    pub reports: Vec<Report>,
+    /// Rows that can't be decoded.
+    pub errors: Vec<RowError>,
+}
+
 /// Number by which the platform's store counts how often it came back from an older copy of itself.
 pub type Era = u64;
 
@@ -98,6 +109,12 @@
     fn members(&self) -> BoxFuture<'_, Result<Members, Error>>;
     /// Removes an instance's row.
     fn deregister(&self, name: &InstanceName) -> BoxFuture<'_, Result<(), Error>>;
+    /// Reads the requests that are held.
+    fn holds(&self) -> BoxFuture<'_, Result<Holds, Error>>;
+    /// Writes what is known of a request that is held, so that it outlasts all instances.
+    fn write_hold(&self, report: &Report) -> BoxFuture<'_, Result<(), Error>>;
+    /// Removes the row of a request.
+    fn remove_hold(&self, key: RequestKey) -> BoxFuture<'_, Result<(), Error>>;
 }
 
 /// Header names in requests and responses.
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -404,7 +404,7 @@
 }
 
 fn finish(
-    context: &Context,
+    context: &Arc<Context>,
     routed: &RoutedRequest,
     checked: CheckedResponse,
     slot: Slot,
--- a/crates/wb-gateway/src/proxy/crash.rs
+++ b/crates/wb-gateway/src/proxy/crash.rs
@@ -17,6 +17,7 @@
 use super::routed::RoutedRequest;
 use super::slot::Slot;
 use crate::Context;
+use crate::follow::holds;
 use crate::peers::quarantine;
 
 /// Time in which all connections of a process that has ended are known to be closed.
@@ -39,7 +40,7 @@
 
 /// Records that a server answered a request completely, and tells the other instances if that clears it
 /// of something.
-pub fn record_answer(context: &Context, routed: &RoutedRequest) {
+pub fn record_answer(context: &Arc<Context>, routed: &RoutedRequest) {
     let Some(key) = routed.key() else {
         return;
     };
@@ -48,6 +49,7 @@
     if let Some(change) = state.quarantine.record_answer(key, now) {
         quarantine::log_change(&change, Some(&routed.id), None);
         quarantine::tell(context, &state, key);
+        holds::update(context, &change);
     }
 }
 
@@ -86,6 +88,7 @@
         if let Some(change) = quarantine.record_crash(key, server, lifetime, self.began, now) {
             quarantine::log_change(&change, Some(&routed.id), None);
             quarantine::tell(&context, &state, key);
+            holds::update(&context, &change);
         }
     }
 
