fix: a server that started again under its id keeps the evidence on the process before

A request that ends a server leaves it suspect at all instances; the next process under the same id was used by trials only, after up to 1.2 s. The list says when a process started: with a later start, evidence, duration ratio and shed rate begin anew. A row without a start changes nothing.

--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -173,6 +173,8 @@
 #[derive(Clone, Debug)]
 struct ServerEntry {
     server: Server,
+    /// Start of its process; 0 if unknown.
+    started: u64,
     detector: FailureDetector,
     /// Own requests in flight.
     own_running: u32,
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -27,11 +27,13 @@
 /// Time constant of the decay of a server's duration ratio: slow servers recover, too.
 const SLOW_DECAY_TIME: Duration = Duration::from_secs(10);
 
-/// A listed server and its remaining warm-up.
+/// A listed server, its process and its remaining warm-up.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListedServer {
     /// The server.
     pub server: Server,
+    /// Start of its process; 0 if unknown.
+    pub started: u64,
     /// Time until it has warmed up; it counts as slow until then.
     pub warmup: Duration,
 }
@@ -91,12 +93,23 @@
                 entry.limit = ServerLimit::default();
                 entry.paused_until = Moment::ZERO;
             }
+            // What was known of the process before says nothing of this one.
+            if entry.started != listed.started && entry.started != 0 && listed.started != 0 {
+                entry.detector = FailureDetector::default();
+                entry.duration_ratio = 1.0;
+                entry.shed_rate = 0.0;
+                entry.warm_at = now + listed.warmup;
+            }
+            if listed.started != 0 {
+                entry.started = listed.started;
+            }
             entry.server = listed.server.clone();
             return;
         }
         let paused_until = self.missing_servers.remove(&listed.server);
         let key = self.servers.insert(ServerEntry {
             server: listed.server.clone(),
+            started: listed.started,
             detector: FailureDetector::default(),
             own_running: 0,
             reported_running: 0,
--- a/crates/wb-balance/tests/choice.rs
+++ b/crates/wb-balance/tests/choice.rs
@@ -18,6 +18,7 @@
 use wb_balance::AttemptOutcome;
 use wb_balance::Decision;
 use wb_balance::Evidence;
+use wb_balance::ListedServer;
 use wb_balance::balancer::RefusalCause;
 use wb_types::roster::Lifecycle;
 
@@ -308,3 +309,22 @@
         assert!(!failing.contains(&*assignment.server.name));
     }
 }
+
+#[test]
+fn server_that_started_again_is_still_suspect() {
+    let mut balancer = service(1, 6);
+    let assigned = assignment_of(balancer.admit(request(false, at(0)), at(0)));
+    let outcome = AttemptOutcome::Failure(Evidence::Cut);
+    balancer.finish(assigned.key, "orders", outcome, at(100));
+    assert_eq!(balancer.suspect_count(), 1);
+    let row = |started| ListedServer {
+        started,
+        ..listed("s0", "a", 6)
+    };
+    // The same process, and a row that doesn't tell which one it is.
+    balancer.update(&[row(1)], at(200));
+    balancer.update(&[row(0)], at(300));
+    assert_eq!(balancer.suspect_count(), 1);
+    balancer.update(&[row(2)], at(400));
+    assert_eq!(balancer.suspect_count(), 0);
+}
--- a/crates/wb-balance/tests/support/mod.rs
+++ b/crates/wb-balance/tests/support/mod.rs
@@ -37,6 +37,7 @@
             max_connections: 64,
             lifecycle: Lifecycle::Live,
         },
+        started: 1,
         warmup: Duration::ZERO,
     }
 }
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -146,7 +146,11 @@
             server.max_connections = self.connection_limit(&server, share);
             let warmup = entry.warmup;
             let list = lists.entry(server.service.clone()).or_default();
-            list.push(ListedServer { server, warmup });
+            list.push(ListedServer {
+                server,
+                started: entry.started,
+                warmup,
+            });
         }
         for (name, list) in lists {
             let service = self.service(&name, context);
