gateway: log when an instance reaches no backend server while others do

An instance compares its own failures (connects, cut connections, overdue and timed out requests) since its last response with what other instances report: failures at three servers over a quarter of a second without a response, while others had one in the last two seconds, are a cut of this instance (E313, gauge servers_unreachable). No decision depends on it yet.

--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -69,6 +69,8 @@
     ServerPause = 311,
     /// A backend server ended while it had a request.
     ServerEnded = 312,
+    /// This instance reaches no backend server while others do, or reaches them again.
+    ServersUnreachable = 313,
     /// A member's liveness changed.
     Member = 401,
     /// The homes or owners of a service changed.
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -17,6 +17,7 @@
 use wb_members::listing::Listing;
 use wb_members::listing::freshness::Freshness;
 use wb_members::listing::freshness::Times;
+use wb_members::reach::Reach;
 use wb_members::steering::Steering;
 use wb_quarantine::Quarantine;
 use wb_route::RouteTable;
@@ -56,6 +57,8 @@
     pub services: HashMap<ServiceName, Service>,
     /// Requests that crash the servers which run them.
     pub quarantine: Quarantine,
+    /// Whether this instance reaches the servers.
+    pub reach: Reach,
 }
 
 /// State shared by all parts of the daemon.
@@ -124,6 +127,7 @@
             steering,
             services: HashMap::new(),
             quarantine: Quarantine::default(),
+            reach: Reach::new(wb_members::reach::Options::default()),
         };
         Self {
             pool: Pool::new(crate::proxy::attempt::POOL_OPTIONS),
--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -62,6 +62,8 @@
     pub servers_ended: Counter,
     /// Requests that are held, since servers ended while they had them.
     pub requests_held: Gauge,
+    /// 1 while this instance reaches no backend server and others do.
+    pub servers_unreachable: Gauge,
     /// Calls to the platform.
     pub platform_calls: Family<CallLabels, Counter>,
     /// Era of the platform's store.
@@ -111,6 +113,7 @@
             limited_servers: Gauge::default(),
             servers_ended: Counter::default(),
             requests_held: Gauge::default(),
+            servers_unreachable: Gauge::default(),
             platform_calls: Family::default(),
             platform_era: Gauge::default(),
             requests_active: Gauge::default(),
@@ -165,6 +168,11 @@
             "Requests that are held, since backend servers ended while they had them",
             self.requests_held.clone(),
         );
+        registry.register(
+            "servers_unreachable",
+            "Whether this instance reaches no backend server while others do",
+            self.servers_unreachable.clone(),
+        );
         registry.register(
             "platform_calls",
             "Calls to the platform",
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -118,6 +118,9 @@
 ) {
     let now = context.now();
     let mut state = context.state();
+    if !successes.is_empty() {
+        state.reach.record_peer_success(now);
+    }
     let none = HashMap::new();
     for (name, service) in &mut state.services {
         let counts = counts.get(name).unwrap_or(&none);
@@ -142,6 +145,11 @@
 ) {
     let now = context.now();
     let mut state = context.state();
+    if evidence.is_response() {
+        state.reach.record_peer_success(now);
+    } else {
+        state.reach.record_peer_failure(now);
+    }
     let Some(known) = state.services.get_mut(service) else {
         return;
     };
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request at one server.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,6 +30,7 @@
 use super::leaving;
 use super::leaving::Receiver;
 use super::limit;
+use super::path;
 use super::pause;
 use super::routed::RoutedRequest;
 use super::slot::Slot;
@@ -91,7 +93,7 @@
     loop {
         let connection = match connect(&context, &routed, &slot).await {
             Ok(connection) => connection,
-            Err(reason) => return fail_unsent(&routed, slot, request, &reason),
+            Err(err) => return fail_unsent(&context, &routed, slot, request, &err),
         };
         if !slot.may_send() {
             let error = "the server takes no more requests";
@@ -125,17 +127,13 @@
 }
 
 /// Opens a connection for a request, or takes an idle one.
-async fn connect(
-    context: &Context,
-    routed: &RoutedRequest,
-    slot: &Slot,
-) -> Result<Connection, String> {
+async fn connect(context: &Context, routed: &RoutedRequest, slot: &Slot) -> io::Result<Connection> {
     let address = slot.assignment.server.address;
     let checkout = context.pool.checkout(address, slot.send_options());
     tokio::select! {
-        result = checkout => result.map_err(|err| err.to_string()),
+        result = checkout => result,
         () = context.wait_until_due(routed.deadline) => {
-            Err("no connection before the deadline".to_owned())
+            Err(io::Error::new(io::ErrorKind::TimedOut, "no connection before the deadline"))
         }
     }
 }
@@ -193,16 +191,19 @@
             return Err(Box::new((slot, *request)));
         }
         Some(Err(SendError::NotSent { request, reason })) => {
-            fail_unsent(&routed, slot, *request, &reason)
+            let err = io::Error::new(io::ErrorKind::ConnectionReset, reason);
+            fail_unsent(&context, &routed, slot, *request, &err)
         }
         Some(Err(SendError::NoResponse { reason, idle_time })) => {
             let took = context.now().saturating_sub(started);
             let investigation = crash::investigate(&slot, started);
+            path::record_failure(&context, &slot.assignment.server.name);
             let outcome = handle_reset(&routed, slot, &reason, idle_time, took);
             wait_for(investigation).await;
             outcome
         }
         None => {
+            path::record_failure(&context, &slot.assignment.server.name);
             log_failure(
                 &routed,
                 &slot,
@@ -244,12 +245,17 @@
 
 /// Ends an attempt of which no byte was sent.
 fn fail_unsent(
+    context: &Context,
     routed: &RoutedRequest,
     slot: Slot,
     request: Request<Body>,
-    reason: &str,
+    err: &io::Error,
 ) -> Outcome {
-    log_failure(routed, &slot, "unreachable", reason);
+    log_failure(routed, &slot, "unreachable", &err.to_string());
+    // Any other error is one of this instance, such as its limit of connections.
+    if err.kind() != io::ErrorKind::Other {
+        path::record_failure(context, &slot.assignment.server.name);
+    }
     slot.explain_reset(false);
     slot.release(AttemptOutcome::Failure(Evidence::Unreachable));
     Outcome::NotExecuted {
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 //! - [`crash`]: servers that end while they have a request.
 //! - [`limit`]: what a response says about the limit of its server.
 //! - [`leaving`]: servers that say in a response that they are leaving.
+//! - [`path`]: whether this instance reaches the servers.
 //! - [`pause`]: pauses that servers ask for when they turn a request away.
 //! - [`streamed`]: responses that are too large to buffer.
 //! - [`response`]: responses of the daemon itself, and the log lines and metrics of a finished
@@ -21,6 +22,7 @@
 pub mod forward;
 pub mod leaving;
 pub mod limit;
+pub mod path;
 pub mod pause;
 pub mod payload;
 pub mod request_key;
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -20,6 +20,7 @@
 use wb_members::listing::Lifetime;
 use wb_types::id::Moment;
 
+use super::path;
 use super::routed::RoutedRequest;
 use crate::Context;
 use crate::metrics::ServiceLabels;
@@ -256,6 +257,7 @@
     /// Records as evidence that the request, still in progress, takes too long.
     pub fn record_overdue(&mut self) {
         self.overdue = true;
+        path::record_failure(&self.context, &self.assignment.server.name);
         let now = self.context.now();
         let mut state = self.context.state();
         let Some(service) = state.services.get_mut(&self.routed.service) else {
@@ -281,6 +283,7 @@
             return;
         };
         let route = &self.routed.route.name;
+        let responded = has_responded(outcome);
         let report = service
             .balancer
             .finish(self.assignment.key, route, outcome, now);
@@ -291,6 +294,9 @@
             service.record_success(self.assignment.server.name.clone());
         }
         service.release_queued(now);
+        if responded {
+            path::record_success(&self.context, &mut state);
+        }
         let to = if report.is_some() {
             state.steering.peer_addresses()
         } else {
@@ -334,6 +340,16 @@
     }
 }
 
+/// Whether a server, be it another one at the same address, has responded to the attempt.
+fn has_responded(outcome: AttemptOutcome) -> bool {
+    match outcome {
+        AttemptOutcome::Success(_) | AttemptOutcome::Late(_) => true,
+        AttemptOutcome::Shed | AttemptOutcome::Misdirected => true,
+        AttemptOutcome::Failure(evidence) => evidence == Evidence::Failed,
+        AttemptOutcome::Timeout | AttemptOutcome::Inconclusive => false,
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         self.release_once(AttemptOutcome::Inconclusive);
--- a/crates/wb-members/src/lib.rs
+++ b/crates/wb-members/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`members`]: which instances are alive, by direct and indirect probes and by gossip that is
 //!   piggybacked on them.
 //! - [`placement`]: which instances are the homes of a service, and which home owns which server.
+//! - [`reach`]: whether an instance reaches the backend servers.
 //! - [`steering`]: which instances callers are steered to.
 //! - [`listing`]: the platform's list of backend servers, as one instance holds it.
 //!
@@ -12,6 +13,7 @@
 pub mod listing;
 pub mod members;
 pub mod placement;
+pub mod reach;
 pub mod steering;
 
 pub use members::LivenessChange;
--- /dev/null
+++ b/crates/wb-members/tests/reach.rs
@@ -0,0 +1,98 @@
+//! Whether an instance is cut off from the backend servers, on virtual time.
+
+use std::time::Duration;
+
+use wb_members::reach::Options;
+use wb_members::reach::Reach;
+use wb_types::id::Moment;
+
+fn at(millis: u64) -> Moment {
+    Duration::from_millis(millis)
+}
+
+/// What happens at a time, in milliseconds.
+#[derive(Clone, Copy)]
+enum Step {
+    /// A server with this number fails this instance.
+    Fail(u64, u8),
+    /// A server responds to this instance.
+    Succeed(u64),
+    /// A server responds to another instance.
+    PeerSucceed(u64),
+    /// A server fails another instance.
+    PeerFail(u64),
+}
+
+use Step::Fail;
+use Step::PeerFail;
+use Step::PeerSucceed;
+use Step::Succeed;
+
+fn play(steps: &[Step]) -> Reach {
+    let mut reach = Reach::new(Options::default());
+    for step in steps {
+        match *step {
+            Fail(time, server) => {
+                reach.record_failure(&format!("s{server}").into(), at(time));
+            }
+            Succeed(time) => {
+                reach.record_success(at(time));
+            }
+            PeerSucceed(time) => reach.record_peer_success(at(time)),
+            PeerFail(time) => reach.record_peer_failure(at(time)),
+        }
+    }
+    reach
+}
+
+macro_rules! cuts {
+    ($($name:ident: [$($step:expr),*] => $cut:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(play(&[$($step),*]).is_cut(), $cut);
+        }
+    )+};
+}
+
+cuts! {
+    nothing_known: [] => false;
+    servers_fail_this_instance_alone: [PeerSucceed(5000), Fail(5000, 1), Fail(5200, 2), Fail(5400, 3)] => true;
+    servers_fail_all_instances: [Fail(5000, 1), Fail(5200, 2), Fail(5400, 3)] => false;
+    servers_began_to_fail_the_others_before: [PeerSucceed(1000), Fail(5000, 1), Fail(5200, 2), Fail(5400, 3)] => false;
+    one_server_fails: [PeerSucceed(5000), Fail(5000, 1), Fail(5200, 1), Fail(5400, 1)] => false;
+    servers_fail_together: [PeerSucceed(5000), Fail(5000, 1), Fail(5001, 2), Fail(5002, 3)] => false;
+    one_of_the_others_responds: [PeerSucceed(5000), Fail(5000, 1), Fail(5200, 2), Succeed(5300), Fail(5400, 3)] => false;
+    a_response_ends_a_cut: [PeerSucceed(5000), Fail(5000, 1), Fail(5200, 2), Fail(5400, 3), Succeed(6000)] => false;
+}
+
+#[test]
+fn instance_takes_callers_again_at_once() {
+    let cut = [
+        PeerSucceed(5000),
+        Fail(5000, 1),
+        Fail(5200, 2),
+        Fail(5400, 3),
+    ];
+    let mut reach = play(&cut);
+    assert!(reach.avoids_callers(at(5400)));
+    assert!(reach.record_success(at(9000)));
+    let delay = Options::default().return_delay;
+    assert!(reach.avoids_callers(at(8999) + delay));
+    assert!(!reach.avoids_callers(at(9000) + delay));
+}
+
+macro_rules! passes_on {
+    ($($name:ident: [$($step:expr),*] => $may:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(play(&[$($step),*]).peers_may_serve(at(5000)), $may);
+        }
+    )+};
+}
+
+passes_on! {
+    others_are_unknown: [] => true;
+    others_were_served: [PeerSucceed(4000), PeerFail(4900)] => true;
+    others_fail_as_well: [PeerSucceed(1000), PeerFail(4900)] => false;
+    others_failed_long_ago: [PeerFail(1000)] => true;
+}
