--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use wb_balance::closing::Closing;
 use wb_http::Pool;
+use wb_http::pool::Connector;
 use wb_members::listing::Listing;
 use wb_members::listing::freshness::Freshness;
 use wb_members::listing::freshness::Times;
@@ -107,6 +108,8 @@
     pub catalog: Arc<dyn Catalog>,
     /// Queue of datagrams to other instances, each with its destinations.
     pub outbox: tokio::sync::mpsc::Sender<(Packet, Vec<SocketAddr>)>,
+    /// Opens connections to backend servers.
+    pub connector: Arc<dyn Connector>,
 }
 
 impl Context {
@@ -130,7 +133,7 @@
             reach: Reach::new(wb_members::reach::Options::default()),
         };
         Self {
-            pool: Pool::new(crate::proxy::attempt::POOL_OPTIONS),
+            pool: Pool::with_connector(crate::proxy::attempt::POOL_OPTIONS, parts.connector),
             peer_pool: Pool::new(wb_http::pool::Options::default()),
             settings: parts.settings,
             headers: parts.headers,
--- a/crates/wb-gateway/src/settings.rs
+++ b/crates/wb-gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the daemon, independent of the file format that they were read from.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -51,4 +52,6 @@
     pub bounds: Bounds,
     /// Connections accepted at a time, for each listener.
     pub connections: usize,
+    /// Local address of connections to backend servers; the system chooses it if it is `None`.
+    pub source: Option<IpAddr>,
 }
--- a/crates/wb-gateway/src/start.rs
+++ b/crates/wb-gateway/src/start.rs
@@ -12,6 +12,8 @@
 use tokio::task::JoinHandle;
 use wb_event::Event;
 use wb_event::line;
+use wb_http::pool::Connector;
+use wb_http::pool::TcpConnector;
 use wb_http::serve;
 use wb_http::serve::Handler;
 use wb_http::serve::serve;
@@ -65,6 +67,20 @@
     ///
     /// If a listen address can't be bound.
     pub async fn start(settings: Settings, platform: Platform) -> io::Result<Self> {
+        let source = settings.source;
+        Self::start_with(settings, platform, Arc::new(TcpConnector { source })).await
+    }
+
+    /// Starts a daemon whose connections to backend servers are opened by a connector.
+    ///
+    /// # Errors
+    ///
+    /// If a listen address can't be bound.
+    pub async fn start_with(
+        settings: Settings,
+        platform: Platform,
+        connector: Arc<dyn Connector>,
+    ) -> io::Result<Self> {
         let listen = settings.listen.clone();
         let (outbox, packets) = mpsc::channel(peers::socket::OUTBOX_CAPACITY);
         let context = Arc::new(Context::new(Parts {
@@ -73,6 +89,7 @@
             api: platform.api,
             catalog: platform.catalog,
             outbox,
+            connector,
         }));
         line!(
             Event::Started,
--- a/crates/wb-http/src/pool/connect.rs
+++ b/crates/wb-http/src/pool/connect.rs
@@ -60,7 +60,7 @@
         options: SendOptions,
     ) -> io::Result<IdleConnection> {
         let guard = self.reserve(address, options.max_connections)?;
-        let opening = TcpStream::connect(address);
+        let opening = self.inner.connector.connect(address);
         let stream = tokio::time::timeout(self.inner.options.connect_timeout, opening).await??;
         configure(&stream, self.inner.options.ack_timeout)?;
         let meter = Meter::default();
--- a/crates/wb-http/src/pool/mod.rs
+++ b/crates/wb-http/src/pool/mod.rs
@@ -4,6 +4,7 @@
 //! only if no byte of it was sent. A connection whose response was abandoned is not reused.
 
 mod connect;
+mod connector;
 mod metered;
 mod response_body;
 mod send;
@@ -23,6 +24,8 @@
 use crate::Body;
 
 pub(crate) use connect::configure;
+pub use connector::Connector;
+pub use connector::TcpConnector;
 use metered::Meter;
 pub use response_body::ResponseBody;
 pub use send::Connection;
@@ -116,6 +119,7 @@
 
 struct Inner {
     options: Options,
+    connector: Arc<dyn Connector>,
     hosts: Mutex<HashMap<SocketAddr, HostPool>>,
 }
 
@@ -154,8 +158,14 @@
 impl Pool {
     /// Creates a pool without connections.
     pub fn new(options: Options) -> Self {
+        Self::with_connector(options, Arc::new(TcpConnector::default()))
+    }
+
+    /// Creates a pool without connections, which are opened by a connector.
+    pub fn with_connector(options: Options, connector: Arc<dyn Connector>) -> Self {
         let inner = Inner {
             options,
+            connector,
             hosts: Mutex::default(),
         };
         Self {
