fix: an instance that reaches no server passes its requests on to one that does

Cause: an instance had no other way to answer than through its own connections, and each request found out anew that none works.

A request is now passed on to another instance, over the listener for peers, if this instance reaches no servers while others do, if two connections failed for the request, or if no server has room for it while several fail this instance. The receiver handles it as its own, within the attempts that are left, and passes it on no further: it refuses it at once if it is cut off as well, and the sender tries another. The mark counts from instances alone. A request that must not be repeated is passed on again only if no byte of it was sent or the receiver refused it.

--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -100,6 +100,8 @@
     Leaving,
     /// The request has crashed the servers that ran it.
     Quarantined,
+    /// This instance reaches no servers, as the one before that passed the request on.
+    Unreachable,
 }
 
 /// A refusal.
--- a/crates/wb-gateway/src/peers/snapshot.rs
+++ b/crates/wb-gateway/src/peers/snapshot.rs
@@ -28,6 +28,8 @@
 
 use crate::Context;
 use crate::context::State;
+use crate::proxy::ProxyHandler;
+use crate::proxy::routed::Origin;
 
 /// Path of the call for a snapshot.
 const SNAPSHOT_PATH: &str = "/whole";
@@ -62,6 +64,11 @@
         request: Request<RequestBody>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
+        let mut request = request;
+        if let Some(origin) = Origin::take(request.headers_mut()) {
+            let proxy = ProxyHandler(self.0.clone());
+            return async move { proxy.route(request, origin).await }.boxed();
+        }
         let bytes = match request.uri().path() {
             SNAPSHOT_PATH => Some(self.encode_snapshot()),
             ROUTES_PATH => Some(self.encode_routes()),
--- a/crates/wb-gateway/src/proxy/forward.rs
+++ b/crates/wb-gateway/src/proxy/forward.rs
@@ -20,13 +20,16 @@
 use wb_balance::hedge::FirstAttempt;
 use wb_http::Body;
 use wb_quarantine::Standing;
+use wb_types::id::InstanceName;
 use wb_types::id::Moment;
 
 use super::attempt;
 use super::attempt::Outcome;
 use super::payload::Payload;
+use super::peer;
 use super::response;
 use super::response::RequestRecord;
+use super::routed::Origin;
 use super::routed::RoutedRequest;
 use super::slot;
 use super::slot::AttemptKind;
@@ -40,6 +43,9 @@
 /// Most attempts of a request that end without a byte sent: each takes up to half a second.
 const CONNECT_FAILURES_MAX: u32 = 4;
 
+/// Servers to which no connection could be opened for a request, from which the path of this instance
+/// may be cut: fewer than that end now and then.
+const PATH_FAILURES: u32 = 2;
 /// Servers that ended while they had a request, from which it is sent to no second one in the same
 /// attempt of its caller.
 const SINGLE_SEND_CRASHES: usize = 2;
@@ -53,6 +59,8 @@
     routed: &'a Arc<RoutedRequest>,
     payload: Payload,
     tried: Vec<ServerKey>,
+    /// Instances that it was passed on to.
+    passed_to: Vec<InstanceName>,
     attempts: u32,
     connect_failures: u32,
     /// Whether a server may have executed the request without a valid response.
@@ -78,6 +86,7 @@
         routed,
         payload,
         tried: Vec::new(),
+        passed_to: Vec::new(),
         attempts: 0,
         connect_failures: 0,
         maybe_run: false,
@@ -127,7 +136,7 @@
         RequestInfo {
             route: route.name.clone(),
             idempotent: route.repeat.is_idempotent(),
-            attempts_left: route.max_attempts.saturating_sub(self.attempts),
+            attempts_left: self.routed.attempts_max().saturating_sub(self.attempts),
             priority: route.priority,
             arrived: self.routed.arrived,
             target_latency: route.target_latency,
@@ -144,8 +153,17 @@
                 retry_after: remaining,
             });
         }
+        if self.pass_on(self.is_cut())? {
+            return Ok(());
+        }
         let request = self.request_info();
-        let slot = slot::acquire(self.context, self.routed, request, kind).await?;
+        let slot = match slot::acquire(self.context, self.routed, request, kind).await {
+            Ok(slot) => slot,
+            Err(refusal) => {
+                let passed = kind != AttemptKind::Hedge && self.pass_on(self.lacks_servers())?;
+                return if passed { Ok(()) } else { Err(refusal) };
+            }
+        };
         let Some(body) = self.payload.take_body() else {
             unreachable!("a retry needs an available body");
         };
@@ -159,6 +177,53 @@
         Ok(())
     }
 
+    /// Whether this instance, or this request, reaches no servers.
+    fn is_cut(&self) -> bool {
+        let state = self.context.state();
+        let reach = &state.reach;
+        let failed = self.connect_failures >= PATH_FAILURES;
+        reach.is_cut() || (failed && reach.peers_may_serve(self.context.now()))
+    }
+
+    /// Whether no server has a free slot, perhaps because this instance reaches too few.
+    fn lacks_servers(&self) -> bool {
+        let state = self.context.state();
+        let reach = &state.reach;
+        reach.failed_count() >= PATH_FAILURES as usize && reach.peers_may_serve(self.context.now())
+    }
+
+    /// Passes the request on to another instance if this one has no way to a server. Returns whether
+    /// it was passed on.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if it has been passed on before, so that another instance is tried.
+    fn pass_on(&mut self, needed: bool) -> Result<bool, Refusal> {
+        if !needed {
+            return Ok(false);
+        }
+        if self.routed.origin != Origin::Caller {
+            return Err(Refusal {
+                cause: RefusalCause::Unreachable,
+                retry_after: Duration::ZERO,
+            });
+        }
+        let Some(peer) = peer::choose(self.context, &self.passed_to) else {
+            return Ok(false);
+        };
+        let Some(body) = self.payload.take_body() else {
+            return Ok(false);
+        };
+        self.passed_to.push(peer.name.clone());
+        let attempts = self.routed.attempts_max().saturating_sub(self.attempts);
+        self.attempts += 1;
+        self.hedge_at = None;
+        let context = self.context.clone();
+        let passing = peer::pass_on(context, self.routed.clone(), peer, attempts, body);
+        self.in_flight.push(Box::pin(passing));
+        Ok(true)
+    }
+
     /// Schedules a hedged attempt after the first one was sent to the server of a slot.
     fn schedule_hedge(&mut self, trial: bool) {
         let now = self.context.now();
@@ -180,7 +245,7 @@
     /// Time until a hedged attempt starts; `None` if the request may not be hedged.
     fn until_hedge(&self) -> Option<Duration> {
         let route = &self.routed.route;
-        let room = self.attempts < route.max_attempts;
+        let room = self.attempts < self.routed.attempts_max();
         let unsuspected = self.routed.standing(self.context) == Standing::Clear;
         let allowed =
             route.repeat.is_idempotent() && room && self.payload.is_available() && unsuspected;
@@ -237,8 +302,8 @@
     fn can_retry(&self) -> bool {
         let routed = self.routed;
         let safe = routed.route.repeat.is_idempotent() || !self.maybe_run;
-        let room = self.attempts < routed.route.max_attempts
-            && self.connect_failures < CONNECT_FAILURES_MAX;
+        let room =
+            self.attempts < routed.attempts_max() && self.connect_failures < CONNECT_FAILURES_MAX;
         let time = self.context.now() < routed.deadline;
         let harmless =
             !self.maybe_run || routed.standing(self.context).crashes() < SINGLE_SEND_CRASHES;
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 //! - [`claim`]: what the head of a response says about the request.
 //! - [`request_key`]: when two requests are the same.
 //! - [`crash`]: servers that end while they have a request.
+//! - [`peer`]: requests that are passed on to another instance.
 //! - [`limit`]: what a response says about the limit of its server.
 //! - [`leaving`]: servers that say in a response that they are leaving.
 //! - [`path`]: whether this instance reaches the servers.
@@ -25,6 +26,7 @@
 pub mod path;
 pub mod pause;
 pub mod payload;
+pub mod peer;
 pub mod request_key;
 pub mod response;
 pub mod routed;
@@ -49,18 +51,20 @@
 use crate::Context;
 use crate::proxy::payload::Payload;
 use crate::proxy::response::RequestRecord;
+use crate::proxy::routed::Origin;
 use crate::proxy::routed::RoutedRequest;
 
 /// Handles requests on the callers' listener.
 pub struct ProxyHandler(pub Arc<Context>);
 
 impl ProxyHandler {
-    async fn route(&self, request: Request<RequestBody>) -> Response<Body> {
+    /// Handles a request from a caller or another instance.
+    pub async fn route(&self, request: Request<RequestBody>, origin: Origin) -> Response<Body> {
         let context = &self.0;
         let _active = ActiveGuard::new(&context.metrics.requests_active);
         let (head, body) = request.into_parts();
         let id = routed::header_text(&head.headers, &context.headers.request_id).map(str::to_owned);
-        let routed = match RoutedRequest::read(context, head) {
+        let routed = match RoutedRequest::read(context, head, origin) {
             Ok(routed) => Arc::new(routed),
             Err(rejection) => return response::reject(context, None, id.as_deref(), &rejection),
         };
@@ -84,7 +88,10 @@
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         async move {
-            let mut response = self.route(request).await;
+            let mut request = request;
+            // Only instances may say that a request was passed on.
+            Origin::take(request.headers_mut());
+            let mut response = self.route(request, Origin::Caller).await;
             if self.0.is_leaving() {
                 let close = HeaderValue::from_static("close");
                 response
--- a/crates/wb-gateway/src/proxy/response.rs
+++ b/crates/wb-gateway/src/proxy/response.rs
@@ -14,6 +14,7 @@
 use wb_http::Body;
 use wb_http::body;
 
+use super::peer;
 use super::request_key;
 use super::routed::Rejection;
 use super::routed::RoutedRequest;
@@ -78,6 +79,10 @@
 pub fn refuse(context: &Context, routed: &RoutedRequest, refusal: &Refusal) -> Response<Body> {
     let mut response = local_response(context, Some(routed), StatusCode::SERVICE_UNAVAILABLE);
     set_retry_after(&mut response, refusal.retry_after);
+    if refusal.cause == RefusalCause::Unreachable {
+        let value = HeaderValue::from_static("1");
+        response.headers_mut().insert(peer::UNREACHABLE, value);
+    }
     response
 }
 
--- a/crates/wb-gateway/src/proxy/routed.rs
+++ b/crates/wb-gateway/src/proxy/routed.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
 use http::StatusCode;
 use http::request::Parts;
 use wb_http::serve::ReceivedAt;
@@ -53,6 +55,36 @@
 /// instance.
 const LEAVING_RETRY: Duration = Duration::from_millis(200);
 
+/// Header of a request that another instance has passed on: the number of attempts that are left.
+const ATTEMPTS_LEFT: HeaderName = HeaderName::from_static("wisteria-attempts-left");
+
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// From a caller.
+    Caller,
+    /// From another instance, which had no way to a server itself.
+    Instance {
+        /// Attempts that are left.
+        attempts: u32,
+    },
+}
+
+impl Origin {
+    /// Reads and removes the mark of a request that another instance has passed on; `None` if it has
+    /// none.
+    pub fn take(headers: &mut HeaderMap) -> Option<Self> {
+        let value = headers.remove(ATTEMPTS_LEFT)?;
+        let attempts = value.to_str().ok()?.parse().ok()?;
+        Some(Self::Instance { attempts })
+    }
+
+    /// Marks a request that is passed on.
+    pub fn mark(headers: &mut HeaderMap, attempts: u32) {
+        headers.insert(ATTEMPTS_LEFT, HeaderValue::from(attempts));
+    }
+}
+
 /// A request with its route and deadline.
 #[derive(Debug)]
 pub struct RoutedRequest {
@@ -72,6 +104,8 @@
     pub body_max: u64,
     /// Its head.
     pub head: Parts,
+    /// Where it came from.
+    pub origin: Origin,
     key: OnceLock<RequestKey>,
 }
 
@@ -82,7 +116,7 @@
     ///
     /// A [`Rejection`] if there is no route, the head is too large, the request id is missing, or
     /// the instance takes no requests.
-    pub fn read(context: &Context, head: Parts) -> Result<Self, Rejection> {
+    pub fn read(context: &Context, head: Parts, origin: Origin) -> Result<Self, Rejection> {
         let received = head.extensions.get::<ReceivedAt>();
         let waited = received.map_or(Duration::ZERO, |received| received.0.elapsed());
         let arrived = context.now().saturating_sub(waited);
@@ -121,10 +155,20 @@
             body_max: routes.limits.body_bytes,
             route: route.clone(),
             head,
+            origin,
             key: OnceLock::new(),
         })
     }
 
+    /// Most servers that the request may be sent to.
+    pub fn attempts_max(&self) -> u32 {
+        let most = self.route.max_attempts;
+        match self.origin {
+            Origin::Caller => most,
+            Origin::Instance { attempts } => attempts.min(most),
+        }
+    }
+
     /// Sets the key, once the body has been read.
     pub fn set_key(&self, key: RequestKey) {
         self.key.get_or_init(|| key);
--- a/crates/wb-gateway/src/start.rs
+++ b/crates/wb-gateway/src/start.rs
@@ -139,6 +139,10 @@
         if let Err(err) = self.caller_listener.await {
             line!(Event::ConnectionError, error = err.to_string());
         }
+        // Other instances have passed requests on over the listener for peers, which stays open.
+        while self.context.metrics.requests_active.get() > 0 {
+            tokio::time::sleep(QUEUE_INTERVAL).await;
+        }
     }
 }
 
--- a/crates/wb-members/src/steering/mod.rs
+++ b/crates/wb-members/src/steering/mod.rs
@@ -46,6 +46,8 @@
     pub spare_candidates: usize,
     /// Time without a heartbeat after which a candidate is passed over.
     pub silence_timeout: Duration,
+    /// Time after which it is forgotten that an instance reaches no servers, unless it says so again.
+    pub cut_timeout: Duration,
 }
 
 impl Default for Options {
@@ -54,6 +56,7 @@
             homes_min: 3,
             spare_candidates: 5,
             silence_timeout: Duration::from_millis(1200),
+            cut_timeout: Duration::from_secs(3),
         }
     }
 }
@@ -76,6 +79,8 @@
     left: bool,
     /// Time of its last heartbeat if that marked it as a home, `None` otherwise.
     home_at: Option<Moment>,
+    /// Time of its last heartbeat if that said that it reaches no servers, `None` otherwise.
+    cut_at: Option<Moment>,
 }
 
 /// The homes and candidates as one instance sees them.
@@ -84,6 +89,8 @@
     options: Options,
     own: Card,
     leaving: bool,
+    /// Whether this instance reaches no servers.
+    cut: bool,
     peers: HashMap<InstanceName, Peer>,
     /// CPU share that the homes need together, in cores.
     required_cores: f32,
@@ -98,6 +105,7 @@
             options,
             own,
             leaving: false,
+            cut: false,
             peers: HashMap::new(),
             required_cores: 0.0,
             candidates: Vec::new(),
@@ -120,6 +128,7 @@
         if let Some(peer) = self.peers.get_mut(&card.name) {
             if peer.card.incarnation != card.incarnation {
                 peer.left = false;
+                peer.cut_at = None;
             }
             peer.card = card;
             return false;
@@ -132,6 +141,7 @@
             silent: false,
             left: false,
             home_at: None,
+            cut_at: None,
         };
         self.peers.insert(name, peer);
         true
@@ -164,6 +174,24 @@
         }
     }
 
+    /// Records whether an instance reaches no servers, as its heartbeat says. Returns whether that is
+    /// news.
+    pub fn record_cut(&mut self, name: &str, cut: bool, now: Moment) -> bool {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return false;
+        };
+        let before = peer.cut_at.replace(now).filter(|_| cut);
+        if !cut {
+            peer.cut_at = None;
+        }
+        cut && before.is_none()
+    }
+
+    /// Sets whether this instance reaches no servers.
+    pub fn set_cut(&mut self, cut: bool) {
+        self.cut = cut;
+    }
+
     /// Marks an instance as left.
     pub fn mark_left(&mut self, name: &str) {
         if name == &*self.own.name {
@@ -187,7 +215,7 @@
                 peer.silent = true;
             }
         }
-        let mut ranked = self.ranked();
+        let mut ranked = self.ranked(now);
         let homes = self.homes_required(&ranked);
         ranked.truncate(homes + self.options.spare_candidates);
         for (name, peer) in &mut self.peers {
@@ -204,14 +232,40 @@
         changed
     }
 
-    /// Live instances in the ranking that all agree on.
-    fn ranked(&self) -> Vec<InstanceName> {
-        let others = self
-            .peers
-            .values()
-            .filter(|peer| !peer.silent && !peer.left);
+    /// Live instances in the ranking that all agree on. Those that reach no servers are passed over,
+    /// unless there is no other.
+    fn ranked(&self, now: Moment) -> Vec<InstanceName> {
+        let live = |peer: &&Peer| !peer.silent && !peer.left;
+        let others: Vec<&Peer> = self.peers.values().filter(live).collect();
+        let reaching = others.iter().filter(|peer| !self.is_cut(peer, now));
+        let own = (!self.leaving && !self.cut).then_some(&self.own);
+        let ranked = rank::rank(reaching.map(|peer| &peer.card).chain(own));
+        if !ranked.is_empty() {
+            return ranked;
+        }
         let own = (!self.leaving).then_some(&self.own);
-        rank::rank(others.map(|peer| &peer.card).chain(own))
+        rank::rank(others.iter().map(|peer| &peer.card).chain(own))
+    }
+
+    /// Whether an instance has said lately that it reaches no servers.
+    fn is_cut(&self, peer: &Peer, now: Moment) -> bool {
+        let recent = |at| now.saturating_sub(at) <= self.options.cut_timeout;
+        peer.cut_at.is_some_and(recent)
+    }
+
+    /// Names and addresses of other instances that reach the servers, as far as known: those that are
+    /// homes if there are any.
+    pub fn reaching_peers(&self, now: Moment) -> Vec<(InstanceName, SocketAddr)> {
+        let reaching = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.silent && !peer.left && !self.is_cut(peer, now));
+        let all: Vec<_> = reaching
+            .map(|(name, peer)| (name.clone(), peer.card.peers))
+            .collect();
+        let homes = all.iter().filter(|(name, _)| self.homes.contains(name));
+        let homes: Vec<_> = homes.cloned().collect();
+        if homes.is_empty() { all } else { homes }
     }
 
     /// Number of homes that are needed. Callers spread evenly over the homes, so together they
