fix: an instance that reaches no server stays a home

Callers went on using a home that was cut off from all servers, since homes were ranked by heartbeats alone. It opens a connection to some server every half second meanwhile, and sends its requests there again when two in a row were accepted. If no instance reaches a server, the ranking is as before. Connections that were idle when the cut began are closed.

Unit tests of the choice of homes.

--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -88,6 +88,8 @@
     pub rejoin: Notify,
     /// Wakes the task that admits queued requests.
     pub queue_wakeup: Notify,
+    /// Wakes the task that finds out when this instance reaches the servers again.
+    pub path_wakeup: Notify,
     state: Mutex<State>,
     leaving: AtomicBool,
     closing: AtomicBool,
@@ -145,6 +147,7 @@
             servers_wakeup: Notify::new(),
             rejoin: Notify::new(),
             queue_wakeup: Notify::new(),
+            path_wakeup: Notify::new(),
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
--- a/crates/wb-gateway/src/peers/heartbeat.rs
+++ b/crates/wb-gateway/src/peers/heartbeat.rs
@@ -13,6 +13,7 @@
 use super::Packet;
 use super::limits;
 use super::packet::Heartbeat;
+use super::packet::PathReport;
 use super::packet::RequestCounts;
 use crate::Context;
 use crate::context::State;
@@ -41,6 +42,10 @@
         listing_version: state.listing.content_version().unwrap_or(0),
         listing_age: state.listing_age(context.now()),
         listing_digest: Some(state.listing.digest()),
+        path: PathReport {
+            avoids_callers: state.reach.avoids_callers(context.now()),
+            success_age: state.reach.success_age(context.now()),
+        },
         candidates: if steering.is_home() {
             steering.candidates().to_vec()
         } else {
@@ -72,8 +77,11 @@
     crate::follow::servers::expire(context, &mut state);
     decay_evidence(&mut state, now);
     limits::expire(&mut state, now);
+    let avoids_callers = state.reach.avoids_callers(now);
+    state.steering.set_cut(avoids_callers);
     update_homes(context, &mut state);
-    if state.steering.is_candidate() && !context.is_leaving() {
+    // An instance that reaches no servers is no candidate, but the candidates have to know why.
+    if (state.steering.is_candidate() || avoids_callers) && !context.is_leaving() {
         let packet = heartbeat(context, &state, false);
         context.send_packet(packet, state.steering.heartbeat_targets());
     }
@@ -88,6 +96,14 @@
     metrics.lines_dropped.set(wb_event::line::dropped() as i64);
 }
 
+/// Tells all instances at once that this one reaches no servers, and takes no more callers.
+pub fn announce_cut(context: &Context, state: &mut State) {
+    state.steering.set_cut(true);
+    update_homes(context, state);
+    let packet = heartbeat(context, state, false);
+    context.send_packet(packet, state.steering.peer_addresses());
+}
+
 /// Lets the evidence on suspect servers decay, and logs those that are cleared by it.
 fn decay_evidence(state: &mut State, now: Moment) {
     for (name, service) in &mut state.services {
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -153,4 +153,16 @@
     /// Digest of the sender's server list; `None` from builds that send none.
     #[serde(deserialize_with = "wb_types::wire::or_default")]
     pub listing_digest: Option<u64>,
+    /// The sender's path to the servers; the default from builds that send none.
+    #[serde(deserialize_with = "wb_types::wire::or_default")]
+    pub path: PathReport,
+}
+
+/// Path of an instance to the backend servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct PathReport {
+    /// Whether it should take no callers, since it reaches no servers, or began to a moment ago.
+    pub avoids_callers: bool,
+    /// Time since a server last responded to it.
+    pub success_age: Option<Duration>,
 }
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -81,6 +81,13 @@
             peer = peer
         );
     }
+    if let Some(age) = heartbeat.path.success_age {
+        state.reach.record_peer_success(now.saturating_sub(age));
+    }
+    let cut = heartbeat.path.avoids_callers;
+    if state.steering.record_cut(&name, cut, now) {
+        line!(Event::ServersUnreachable, cut = cut, from = name);
+    }
     state.steering.record_relayed(&heartbeat.candidates, now);
     if heartbeat.wants_reply {
         let packet = heartbeat::heartbeat(context, &state, false);
--- a/crates/wb-gateway/src/proxy/path.rs
+++ b/crates/wb-gateway/src/proxy/path.rs
@@ -1,32 +1,102 @@
 //! What attempts show of this instance's path to the backend servers.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
 use wb_event::Event;
 use wb_event::line;
+use wb_http::pool::SendOptions;
 use wb_types::id::ServerName;
+use wb_types::roster::Lifecycle;
+use wb_types::roster::Server;
 
 use crate::Context;
 use crate::context::State;
+use crate::peers::heartbeat;
+
+/// Interval at which an instance that reaches no servers opens a connection to one of them.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a connection counts as accepted for good.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// Servers in a row that must accept a connection until requests are sent there again.
+const PROBES_MIN: u32 = 2;
 
 /// Records that a server did not respond, or could not be connected.
 pub fn record_failure(context: &Context, server: &ServerName) {
     let now = context.now();
     let mut state = context.state();
-    if state.reach.record_failure(server, now) {
-        log_change(context, &state);
+    if !state.reach.record_failure(server, now) {
+        return;
     }
+    log_change(context, &state);
+    heartbeat::announce_cut(context, &mut state);
+    context.path_wakeup.notify_one();
+    // Connections that are silent would take the first requests after the cut.
+    context.pool.close_all_idle();
 }
 
 /// Records that a server responded.
 pub fn record_success(context: &Context, state: &mut State) {
-    if state.reach.record_success(context.now()) {
-        log_change(context, state);
+    if !state.reach.record_success(context.now()) {
+        return;
+    }
+    log_change(context, state);
+}
+
+/// Finds out, while this instance reaches no servers, when it reaches them again, until the daemon ends.
+pub async fn probe(context: Arc<Context>) {
+    loop {
+        context.path_wakeup.notified().await;
+        let mut accepted = 0;
+        while context.state().reach.is_cut() {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+            accepted = if accepts(&context).await {
+                accepted + 1
+            } else {
+                0
+            };
+            if accepted >= PROBES_MIN {
+                record_success(&context, &mut context.state());
+            }
+        }
+    }
+}
+
+/// Whether some server accepts a connection, which is kept for later requests.
+async fn accepts(context: &Context) -> bool {
+    let Some(server) = choose_server(context, None) else {
+        return false;
+    };
+    open(context, &server).await && {
+        tokio::time::sleep(SETTLE_TIME).await;
+        context.pool.has_idle(server.address)
     }
 }
 
+/// Opens a connection to a server.
+async fn open(context: &Context, server: &Server) -> bool {
+    let options = SendOptions::new(server.slots, true);
+    let opened = context.pool.open(server.address, options).await;
+    opened.is_ok()
+}
+
+/// Chooses a server in use, other than that at an address.
+fn choose_server(context: &Context, other: Option<SocketAddr>) -> Option<Server> {
+    let state = context.state();
+    let servers = state.listing.servers();
+    let servers = servers.filter(|(entry, lifecycle)| {
+        *lifecycle == Lifecycle::Live && Some(entry.server.address) != other
+    });
+    let chosen = servers.choose(&mut rand::rng());
+    chosen.map(|(entry, _)| entry.server.clone())
+}
+
 fn log_change(context: &Context, state: &State) {
     let now = context.now();
     let reach = &state.reach;
-    let millis = |age: std::time::Duration| age.as_millis() as u64;
+    let millis = |age: Duration| age.as_millis() as u64;
     context
         .metrics
         .servers_unreachable
--- a/crates/wb-gateway/src/start.rs
+++ b/crates/wb-gateway/src/start.rs
@@ -29,6 +29,7 @@
 use crate::platform::Catalog;
 use crate::platform::DirectoryApi;
 use crate::platform::Headers;
+use crate::proxy;
 use crate::proxy::ProxyHandler;
 
 /// Time after which an idle connection of a caller is closed, longer than the fifteen seconds that
@@ -122,6 +123,7 @@
         tokio::spawn(peers::heartbeat::send_counts(context.clone()));
         tokio::spawn(peers::limits::send(context.clone()));
         tokio::spawn(peers::quarantine::send(context.clone()));
+        tokio::spawn(proxy::path::probe(context.clone()));
         tokio::spawn(release_queued(context.clone()));
         tokio::spawn(close_idle(context.clone()));
         Ok(Self {
--- a/crates/wb-gateway/tests/packet.rs
+++ b/crates/wb-gateway/tests/packet.rs
@@ -2,6 +2,7 @@
 
 use wb_gateway::peers::Packet;
 use wb_gateway::peers::packet::Heartbeat;
+use wb_gateway::peers::packet::PathReport;
 use wb_members::listing::Update;
 use wb_members::steering::Card;
 
@@ -23,6 +24,7 @@
         listing_age: std::time::Duration::from_millis(30),
         candidates: vec!["front-2".into()],
         listing_digest: Some(3),
+        path: PathReport::default(),
     }
 }
 
@@ -34,7 +36,7 @@
 
 #[test]
 fn heartbeat_without_a_digest_is_read() {
-    let old = shortened(&Packet::Heartbeat(Box::new(heartbeat())), 2);
+    let old = shortened(&Packet::Heartbeat(Box::new(heartbeat())), 4);
     let want = Heartbeat {
         listing_digest: None,
         ..heartbeat()
@@ -42,6 +44,12 @@
     assert_eq!(old, Packet::Heartbeat(Box::new(want)));
 }
 
+#[test]
+fn heartbeat_without_a_path_is_read() {
+    let old = shortened(&Packet::Heartbeat(Box::new(heartbeat())), 2);
+    assert_eq!(old, Packet::Heartbeat(Box::new(heartbeat())));
+}
+
 #[test]
 fn update_without_a_number_is_read() {
     let update = Update {
--- a/crates/wb-http/src/pool/mod.rs
+++ b/crates/wb-http/src/pool/mod.rs
@@ -209,6 +209,17 @@
         drop(idle);
     }
 
+    /// Closes all idle connections, for use when the path to all servers is cut.
+    pub fn close_all_idle(&self) {
+        let mut hosts = self.inner.hosts.lock().expect("lock is not poisoned");
+        let hosts_idle = hosts
+            .values_mut()
+            .map(|host| std::mem::take(&mut host.idle));
+        let idle: Vec<Vec<IdleConnection>> = hosts_idle.collect();
+        drop(hosts);
+        drop(idle);
+    }
+
     /// Closes connections that exceeded the idle timeout or were closed by the server.
     pub fn evict_expired(&self) {
         let limit = self.inner.options.idle_timeout;
--- a/crates/wb-members/src/steering/mod.rs
+++ b/crates/wb-members/src/steering/mod.rs
@@ -83,6 +83,14 @@
     cut_at: Option<Moment>,
 }
 
+impl Peer {
+    /// Whether it has said within `timeout` that it reaches no servers.
+    fn is_cut(&self, timeout: Duration, now: Moment) -> bool {
+        let recent = |at| now.saturating_sub(at) <= timeout;
+        self.cut_at.is_some_and(recent)
+    }
+}
+
 /// The homes and candidates as one instance sees them.
 #[derive(Clone, Debug)]
 pub struct Steering {
@@ -177,14 +185,13 @@
     /// Records whether an instance reaches no servers, as its heartbeat says. Returns whether that is
     /// news.
     pub fn record_cut(&mut self, name: &str, cut: bool, now: Moment) -> bool {
+        let timeout = self.options.cut_timeout;
         let Some(peer) = self.peers.get_mut(name) else {
             return false;
         };
-        let before = peer.cut_at.replace(now).filter(|_| cut);
-        if !cut {
-            peer.cut_at = None;
-        }
-        cut && before.is_none()
+        let was_cut = peer.is_cut(timeout, now);
+        peer.cut_at = cut.then_some(now);
+        cut && !was_cut
     }
 
     /// Sets whether this instance reaches no servers.
@@ -237,7 +244,8 @@
     fn ranked(&self, now: Moment) -> Vec<InstanceName> {
         let live = |peer: &&Peer| !peer.silent && !peer.left;
         let others: Vec<&Peer> = self.peers.values().filter(live).collect();
-        let reaching = others.iter().filter(|peer| !self.is_cut(peer, now));
+        let timeout = self.options.cut_timeout;
+        let reaching = others.iter().filter(|peer| !peer.is_cut(timeout, now));
         let own = (!self.leaving && !self.cut).then_some(&self.own);
         let ranked = rank::rank(reaching.map(|peer| &peer.card).chain(own));
         if !ranked.is_empty() {
@@ -247,19 +255,14 @@
         rank::rank(others.iter().map(|peer| &peer.card).chain(own))
     }
 
-    /// Whether an instance has said lately that it reaches no servers.
-    fn is_cut(&self, peer: &Peer, now: Moment) -> bool {
-        let recent = |at| now.saturating_sub(at) <= self.options.cut_timeout;
-        peer.cut_at.is_some_and(recent)
-    }
-
     /// Names and addresses of other instances that reach the servers, as far as known: those that are
     /// homes if there are any.
     pub fn reaching_peers(&self, now: Moment) -> Vec<(InstanceName, SocketAddr)> {
+        let timeout = self.options.cut_timeout;
         let reaching = self
             .peers
             .iter()
-            .filter(|(_, peer)| !peer.silent && !peer.left && !self.is_cut(peer, now));
+            .filter(|(_, peer)| !peer.silent && !peer.left && !peer.is_cut(timeout, now));
         let all: Vec<_> = reaching
             .map(|(name, peer)| (name.clone(), peer.card.peers))
             .collect();
--- a/crates/wb-members/tests/steer.rs
+++ b/crates/wb-members/tests/steer.rs
@@ -52,3 +52,58 @@
     few_cores_required: 6 large, 112 small, need 0.2 => (3, 0);
     fewer_large_instances_than_homes_min: 2 large, 20 small, need 0.2 => (2, 1);
 }
+
+/// Which of eight equal instances are homes for one of them, if these say that they reach no servers.
+fn homes_without(cut: &[usize], own_cut: bool) -> Vec<usize> {
+    let own = card(0, 0.5);
+    let mut steering = Steering::new(Options::default(), own);
+    let now = Duration::from_secs(1);
+    for index in 1..8 {
+        steering.record_heartbeat(card(index, 0.5), false, now);
+        steering.record_cut(&card(index, 0.5).name, cut.contains(&index), now);
+    }
+    steering.set_cut(own_cut);
+    steering.update_homes(now);
+    let index = |name: &wb_types::id::InstanceName| name[6..].parse().expect("a number");
+    steering.homes().iter().map(index).collect()
+}
+
+#[test]
+fn instances_that_reach_no_servers_are_homes() {
+    let before = homes_without(&[], false);
+    assert_eq!(before.len(), 3);
+    let others: Vec<usize> = (1..8).filter(|index| before.contains(index)).collect();
+    let after = homes_without(&others, before.contains(&0));
+    assert_eq!(after.len(), 3);
+    assert!(
+        after.iter().all(|index| !before.contains(index)),
+        "{after:?}"
+    );
+    // If none reaches them, nobody is better than the former homes.
+    assert_eq!(homes_without(&[1, 2, 3, 4, 5, 6, 7], true), before);
+}
+
+#[test]
+fn instance_that_said_once_that_it_reaches_no_servers_stays_out() {
+    let mut steering = Steering::new(Options::default(), card(0, 0.5));
+    let other = card(1, 0.5);
+    let now = Duration::from_secs(1);
+    steering.record_heartbeat(other.clone(), true, now);
+    assert!(steering.record_cut(&other.name, true, now));
+    assert!(!steering.record_cut(&other.name, true, now));
+    steering.update_homes(now);
+    assert!(!steering.homes().contains(&other.name));
+    // It started again, or was not heard of since.
+    let later = now + Options::default().cut_timeout + Duration::from_millis(1);
+    steering.record_heartbeat(other.clone(), true, later);
+    steering.update_homes(later);
+    assert!(steering.homes().contains(&other.name));
+    assert!(steering.record_cut(&other.name, true, later));
+    let again = Card {
+        incarnation: 2,
+        ..other
+    };
+    steering.record_heartbeat(again.clone(), true, later);
+    steering.update_homes(later);
+    assert!(steering.homes().contains(&again.name));
+}
