fix: an instance without a path to the servers makes them suspect elsewhere

A cut instance reports each connection that was reset and each connect that failed; all others then held healthy servers for suspects until three trials had cleared each, and the cut instance itself held all servers for suspects after the cut. An instance that reaches no server reports no more; when it says so, the others drop what peers have reported against servers that responded to them in the last two seconds, and at the end of the cut it drops its own.

Unit tests of the detector.

--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -109,6 +109,21 @@
         }
     }
 
+    /// Takes back what peers have reported against servers that responded to this instance lately: a
+    /// peer has turned out to have no path to them.
+    pub fn retract_peer_evidence(&mut self, now: Moment) {
+        for entry in self.servers.values_mut() {
+            entry.detector.retract_peer_evidence(now);
+        }
+    }
+
+    /// Takes back what is held against the servers: this instance had no path to them.
+    pub fn retract_evidence(&mut self) {
+        for entry in self.servers.values_mut() {
+            entry.detector.retract_evidence();
+        }
+    }
+
     fn record_duration(&mut self, key: ServerKey, route: &str, duration: Duration) {
         let seconds = duration.as_secs_f64();
         self.mean_duration += (seconds - self.mean_duration) * ROUTE_ALPHA;
--- a/crates/wb-balance/src/detector.rs
+++ b/crates/wb-balance/src/detector.rs
@@ -44,6 +44,8 @@
 const DECAY_TIME: Duration = Duration::from_secs(6);
 /// Success rate that is assumed of a server that decay has cleared.
 const CLEARED_SUCCESS_RATE: f64 = 0.95;
+/// Time for which a response proves more than what a peer without a path to the server has reported.
+const PROVEN_TIME: Duration = Duration::from_secs(2);
 /// Score below which decay clears a suspect, in nats.
 const CLEARED_SCORE: f64 = 1.0;
 /// Time without evidence after which a suspect may get a request that can't be sent again: half of
@@ -225,6 +227,25 @@
         cleared
     }
 
+    /// Takes back the evidence of peers, if the server has responded to this instance lately.
+    pub fn retract_peer_evidence(&mut self, now: Moment) {
+        let age = self.since_success(now);
+        if self.own.suspect || age.is_none_or(|age| age > PROVEN_TIME) {
+            return;
+        }
+        self.peers = Score::default();
+        self.success_rate = self.success_rate.max(CLEARED_SUCCESS_RATE);
+    }
+
+    /// Takes back all evidence.
+    pub fn retract_evidence(&mut self) {
+        *self = Self {
+            last_success: self.last_success,
+            in_trial: self.in_trial,
+            ..Self::default()
+        };
+    }
+
     fn update_rates(&mut self, evidence: Evidence) {
         let response = evidence.is_response();
         self.success_streak = if response {
--- a/crates/wb-balance/tests/trust.rs
+++ b/crates/wb-balance/tests/trust.rs
@@ -143,3 +143,28 @@
     // Three responses in a row come once in 343 trials.
     assert!(cleared <= 7000 / 343 * 2, "cleared {cleared} times");
 }
+
+#[test]
+fn reports_of_a_peer_without_a_path_to_the_server_stay() {
+    let mut proven = detector_after(&[Evidence::Good]);
+    proven.record_peer(Evidence::Cut, SECOND);
+    assert!(proven.is_suspect());
+    proven.retract_peer_evidence(SECOND);
+    assert!(!proven.is_suspect());
+    // This instance has seen it fail itself, or has not heard from it for long.
+    let mut failing = detector_after(&[Evidence::Good, Evidence::Cut]);
+    failing.retract_peer_evidence(SECOND);
+    assert!(failing.is_suspect());
+    let mut unproven = detector_after(&[Evidence::Good]);
+    unproven.record_peer(Evidence::Cut, SECOND * 5);
+    unproven.retract_peer_evidence(SECOND * 5);
+    assert!(unproven.is_suspect());
+}
+
+#[test]
+fn evidence_of_an_instance_without_a_path_to_the_server_stays() {
+    let mut detector = detector_after(&[Evidence::Unreachable, Evidence::Unreachable]);
+    detector.retract_evidence();
+    assert!(!detector.is_suspect());
+    assert!(detector.score() == 0.0);
+}
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -87,6 +87,10 @@
     let cut = heartbeat.path.avoids_callers;
     if state.steering.record_cut(&name, cut, now) {
         line!(Event::ServersUnreachable, cut = cut, from = name);
+        // What it has reported of the servers was its own fault.
+        for service in state.services.values_mut() {
+            service.balancer.retract_peer_evidence(now);
+        }
     }
     state.steering.record_relayed(&heartbeat.candidates, now);
     if heartbeat.wants_reply {
--- a/crates/wb-gateway/src/proxy/path.rs
+++ b/crates/wb-gateway/src/proxy/path.rs
@@ -43,6 +43,12 @@
         return;
     }
     log_change(context, state);
+    // What this instance holds against the servers was its own fault.
+    let now = context.now();
+    for service in state.services.values_mut() {
+        service.balancer.retract_evidence();
+        service.release_queued(now);
+    }
 }
 
 /// Finds out, while this instance reaches no servers, when it reaches them again, until the daemon ends.
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -330,6 +330,9 @@
             };
             self.context.metrics.verdicts.get_or_create(&labels).inc();
         }
+        if self.context.state().reach.is_cut() {
+            return;
+        }
         let packet = Packet::Evidence {
             from: self.context.settings.card.name.clone(),
             service: self.routed.service.clone(),
