fix: a cut of this instance's path counts as the end of servers

Where connections to all servers were reset and new ones refused, each request that was on its way counted as one under which a server had ended.

--- a/crates/wb-gateway/src/proxy/crash.rs
+++ b/crates/wb-gateway/src/proxy/crash.rs
@@ -13,6 +13,7 @@
 use wb_types::roster::Lifecycle;
 use wb_types::roster::Server;
 
+use super::path;
 use super::request_key;
 use super::routed::RoutedRequest;
 use super::slot::Slot;
@@ -93,7 +94,7 @@
     }
 
     /// Whether the server's process has ended: none of its connections is left, and it refuses new
-    /// ones. A connection that it accepts is kept for later requests.
+    /// ones while others accept them. A connection that is accepted is kept for later requests.
     async fn has_ended(&self, context: &Context) -> bool {
         tokio::time::sleep(SETTLE_TIME).await;
         let address = self.server.address;
@@ -102,7 +103,9 @@
         }
         let opening = context.pool.open(address, self.options);
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await;
-        matches!(opened, Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused)
+        let refused =
+            matches!(opened, Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused);
+        refused && path::is_open(context, address, CONNECT_TIMEOUT).await
     }
 
     /// Whether the server was due to end.
--- a/crates/wb-gateway/src/proxy/path.rs
+++ b/crates/wb-gateway/src/proxy/path.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use rand::seq::IteratorRandom;
 use wb_event::Event;
 use wb_event::line;
@@ -23,6 +26,9 @@
 /// Servers in a row that must accept a connection until requests are sent there again.
 const PROBES_MIN: u32 = 2;
 
+/// Other servers that show whether the path to one is open.
+const WITNESSES: usize = 3;
+
 /// Records that a server did not respond, or could not be connected.
 pub fn record_failure(context: &Context, server: &ServerName) {
     let now = context.now();
@@ -72,7 +78,7 @@
 
 /// Whether some server accepts a connection, which is kept for later requests.
 async fn accepts(context: &Context) -> bool {
-    let Some(server) = choose_server(context, None) else {
+    let Some(server) = choose_servers(context, None, 1).pop() else {
         return false;
     };
     open(context, &server).await && {
@@ -88,15 +94,36 @@
     opened.is_ok()
 }
 
-/// Chooses a server in use, other than that at an address.
-fn choose_server(context: &Context, other: Option<SocketAddr>) -> Option<Server> {
+/// Whether a server that refuses connections has ended, and not the path to all of them: another server
+/// accepts one within `timeout`, or no other instance is served any better.
+pub async fn is_open(context: &Context, refused: SocketAddr, timeout: Duration) -> bool {
+    let others = choose_servers(context, Some(refused), WITNESSES);
+    let opening = others.iter().map(|server| open(context, server).boxed());
+    let any = async {
+        let mut opening: FuturesUnordered<_> = opening.collect();
+        while let Some(opened) = opening.next().await {
+            if opened {
+                return true;
+            }
+        }
+        false
+    };
+    if tokio::time::timeout(timeout, any).await == Ok(true) {
+        return true;
+    }
+    !context.state().reach.peers_are_served(context.now())
+}
+
+/// Chooses at most `count` servers in use, other than that at an address.
+fn choose_servers(context: &Context, other: Option<SocketAddr>, count: usize) -> Vec<Server> {
     let state = context.state();
     let servers = state.listing.servers();
     let servers = servers.filter(|(entry, lifecycle)| {
         *lifecycle == Lifecycle::Live && Some(entry.server.address) != other
     });
-    let chosen = servers.choose(&mut rand::rng());
-    chosen.map(|(entry, _)| entry.server.clone())
+    let chosen = servers.choose_multiple(&mut rand::rng(), count);
+    let servers = chosen.into_iter().map(|(entry, _)| entry.server.clone());
+    servers.collect()
 }
 
 fn log_change(context: &Context, state: &State) {
--- a/crates/wb-members/src/reach.rs
+++ b/crates/wb-members/src/reach.rs
@@ -71,7 +71,7 @@
         let begins = !self.cut
             && silent
             && self.failed.len() >= self.options.servers_min
-            && self.is_recent(self.peer_success, now);
+            && self.peers_are_served(now);
         self.cut |= begins;
         begins
     }
@@ -113,7 +113,12 @@
     /// Whether a request that this instance can't send to a server may be served by another one: others
     /// had a success lately, or nothing is known of them.
     pub fn peers_may_serve(&self, now: Moment) -> bool {
-        self.is_recent(self.peer_success, now) || !self.is_recent(self.peer_failure, now)
+        self.peers_are_served(now) || !self.is_recent(self.peer_failure, now)
+    }
+
+    /// Whether a server has responded to another instance lately.
+    pub fn peers_are_served(&self, now: Moment) -> bool {
+        self.is_recent(self.peer_success, now)
     }
 
     /// Time since a server last responded to this instance.
