fix: a row with a million slots makes all instances homes

One row of another writer with 1,000,000 slots raised the capacity that the homes need, so that all instances were homes; sums of slots wrapped in 32 bits, and in a debug build ended the process.

--- a/crates/wb-entry/src/fleet/placement.rs
+++ b/crates/wb-entry/src/fleet/placement.rs
@@ -174,7 +174,7 @@
             let server = servers.iter().find(|server| server.name == owner.server);
             server.map(|server| server.slots)
         });
-        slots.sum()
+        slots.fold(0, u32::saturating_add)
     };
     let homes: Vec<HomeSlots> = homes
         .iter()
--- a/crates/wb-gateway/src/peers/heartbeat.rs
+++ b/crates/wb-gateway/src/peers/heartbeat.rs
@@ -65,11 +65,11 @@
 fn step(context: &Context) {
     let now = context.now();
     let mut state = context.state();
-    let slots: u32 = state
+    let slots: u64 = state
         .listing
         .entries()
         .values()
-        .map(|entry| entry.server.slots)
+        .map(|entry| u64::from(entry.server.slots))
         .sum();
     state
         .steering
--- a/crates/wb-health/src/monitor/access.rs
+++ b/crates/wb-health/src/monitor/access.rs
@@ -90,7 +90,8 @@
 
     /// Slots of the servers that can take requests now.
     pub fn healthy_slots(&self, now: Moment) -> u32 {
-        crate::floor::serving_slots(&self.capacities(now))
+        let slots = crate::floor::serving_slots(&self.capacities(now));
+        u32::try_from(slots).unwrap_or(u32::MAX)
     }
 
     /// Capacities that count for the floor. A server that has just been taken over is left out.
--- a/crates/wb-health/tests/floor.rs
+++ b/crates/wb-health/tests/floor.rs
@@ -12,6 +12,8 @@
 use wb_health::HealthMonitor;
 use wb_health::Options;
 use wb_health::ServerKey;
+use wb_health::floor::Capacity;
+use wb_health::floor::holds_without;
 use wb_health::monitor::Arrival;
 
 /// One event of a random history.
@@ -201,3 +203,12 @@
         "{ejected:?}"
     );
 }
+
+#[test]
+fn slots_beyond_32_bits_leave_no_capacity() {
+    let huge = Capacity {
+        slots: u32::MAX,
+        serving: true,
+    };
+    assert!(holds_without(&[huge, huge], 50, 1));
+}
--- a/crates/wb-members/src/placement/owners.rs
+++ b/crates/wb-members/src/placement/owners.rs
@@ -18,7 +18,7 @@
 /// Slots that are assigned to a home.
 struct AssignedLoad<'a> {
     home: &'a Instance,
-    slots: u32,
+    slots: u64,
 }
 
 /// Assigns each server of a service to an owner among its homes: the one of highest weight in the
@@ -40,7 +40,7 @@
     for server in &sorted {
         let share = even_share(&sorted, homes, server);
         let load = choose(server, &mut loads, share);
-        load.slots += server.slots;
+        load.slots += u64::from(server.slots);
         owners.push(Owner {
             server: server.name.clone(),
             home: load.home.name.clone(),
@@ -55,31 +55,31 @@
 }
 
 /// Most slots that a home is assigned while another one has room.
-fn even_share(servers: &[&Server], homes: &[Instance], server: &Server) -> u32 {
+fn even_share(servers: &[&Server], homes: &[Instance], server: &Server) -> u64 {
     let in_domain = has_home_in_domain(server, homes);
     let same = |domain: &str| !in_domain || domain == &*server.domain;
-    let total: u32 = servers
+    let total: u64 = servers
         .iter()
         .filter(|other| same(&other.domain))
-        .map(|other| other.slots)
+        .map(|other| u64::from(other.slots))
         .sum();
     let count = homes.iter().filter(|home| same(&home.domain)).count();
-    total.div_ceil(count.max(1) as u32)
+    total.div_ceil(count.max(1) as u64)
 }
 
 fn choose<'a, 'b>(
     server: &Server,
     loads: &'a mut [AssignedLoad<'b>],
-    share: u32,
+    share: u64,
 ) -> &'a mut AssignedLoad<'b> {
     let in_domain = loads.iter().any(|load| load.home.domain == server.domain);
     let score = |load: &AssignedLoad<'_>| {
         let same = !in_domain || load.home.domain == server.domain;
-        let room = load.slots + server.slots <= share;
+        let room = load.slots + u64::from(server.slots) <= share;
         let remaining = if room {
-            u32::MAX
+            u64::MAX
         } else {
-            u32::MAX - 1 - load.slots
+            u64::MAX - 1 - load.slots
         };
         (same, remaining, weight(&server.name, &load.home.name))
     };
--- a/crates/wb-members/tests/place.rs
+++ b/crates/wb-members/tests/place.rs
@@ -88,3 +88,18 @@
     assert_eq!(roles.len(), 40);
     assert!(roles.values().all(|count| *count < 64), "{roles:?}");
 }
+
+#[test]
+fn slots_beyond_32_bits_leave_a_home_without_servers() {
+    let live = instances(2);
+    let mut servers = servers(4);
+    for server in &mut servers {
+        server.domain = "elsewhere".into();
+        server.slots = u32::MAX;
+    }
+    let owners = owners(&servers, &live);
+    for home in &live {
+        let owned = owners.iter().filter(|owner| owner.home == home.name);
+        assert_eq!(owned.count(), 2);
+    }
+}
