--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -85,6 +85,8 @@
     PacketTooLarge = 406,
     /// Another instance did not answer a call for its state.
     PeerSilent = 407,
+    /// A datagram to another instance could not be sent.
+    PacketUnsent = 408,
     /// A newer version of the policy table is in force.
     TableApplied = 501,
     /// An edit of the policy table was accepted or refused, or its outcome is unknown.
--- a/crates/wb-gateway/src/peers/socket.rs
+++ b/crates/wb-gateway/src/peers/socket.rs
@@ -1,5 +1,6 @@
 //! Sending and receiving of datagrams.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,8 +30,19 @@
             line!(Event::PacketTooLarge, bytes = bytes.len());
         }
         for address in to {
-            // Losses are tolerated: heartbeats repeat the sender's versions.
-            let _ = socket.send_to(&bytes, address).await;
+            // Losses are tolerated: heartbeats repeat the sender's versions. An instance that is gone
+            // refuses datagrams.
+            let sent = socket.send_to(&bytes, address).await;
+            if let Err(err) = sent
+                && err.kind() != io::ErrorKind::ConnectionRefused
+            {
+                line!(
+                    Event::PacketUnsent,
+                    to = address,
+                    bytes = bytes.len(),
+                    error = err.to_string()
+                );
+            }
         }
     }
 }
