fix: servers that are down for all count as a cut of each instance

Where all servers of a service fell at once, each instance saw its own requests fail while others had been served in the last two seconds, took itself for cut off, and passed its requests to others that refused them as cut off, too; all took no callers for five seconds more. A success of another instance shows that the servers are up only if it came later than 100 ms after the first failure here.

Unit test red before.

--- a/crates/wb-members/src/reach.rs
+++ b/crates/wb-members/src/reach.rs
@@ -18,6 +18,9 @@
     /// Time for which none must have succeeded since the first of these failures: longer than that in
     /// which a few servers fail together.
     pub silence: Duration,
+    /// Time after the first of these failures from which a success of another instance shows that the
+    /// servers are up: its response may have been on the way.
+    pub overlap: Duration,
     /// Age up to which a success or failure of another instance says how it fares now.
     pub peer_age: Duration,
     /// Time after the end of a cut in which the instance takes no callers, lest it changes back and
@@ -30,6 +33,7 @@
         Self {
             servers_min: 3,
             silence: Duration::from_millis(250),
+            overlap: Duration::from_millis(100),
             peer_age: Duration::from_secs(2),
             return_delay: Duration::from_secs(5),
         }
@@ -71,7 +75,8 @@
         let begins = !self.cut
             && silent
             && self.failed.len() >= self.options.servers_min
-            && self.peers_are_served(now);
+            && self.peers_are_served(now)
+            && self.peer_success > Some(self.first_failure + self.options.overlap);
         self.cut |= begins;
         begins
     }
--- a/crates/wb-members/tests/reach.rs
+++ b/crates/wb-members/tests/reach.rs
@@ -56,19 +56,20 @@
 
 cuts! {
     nothing_known: [] => false;
-    servers_fail_this_instance_alone: [PeerSucceed(5000), Fail(5000, 1), Fail(5200, 2), Fail(5400, 3)] => true;
+    servers_fail_this_instance_alone: [Fail(5000, 1), Fail(5200, 2), PeerSucceed(5300), Fail(5400, 3)] => true;
+    servers_fail_all_instances_at_once: [PeerSucceed(4990), Fail(5000, 1), PeerSucceed(5020), Fail(5200, 2), Fail(5400, 3)] => false;
     servers_fail_all_instances: [Fail(5000, 1), Fail(5200, 2), Fail(5400, 3)] => false;
     servers_began_to_fail_the_others_before: [PeerSucceed(1000), Fail(5000, 1), Fail(5200, 2), Fail(5400, 3)] => false;
-    one_server_fails: [PeerSucceed(5000), Fail(5000, 1), Fail(5200, 1), Fail(5400, 1)] => false;
-    servers_fail_together: [PeerSucceed(5000), Fail(5000, 1), Fail(5001, 2), Fail(5002, 3)] => false;
-    one_of_the_others_responds: [PeerSucceed(5000), Fail(5000, 1), Fail(5200, 2), Succeed(5300), Fail(5400, 3)] => false;
-    a_response_ends_a_cut: [PeerSucceed(5000), Fail(5000, 1), Fail(5200, 2), Fail(5400, 3), Succeed(6000)] => false;
+    one_server_fails: [PeerSucceed(5300), Fail(5000, 1), Fail(5200, 1), Fail(5400, 1)] => false;
+    servers_fail_together: [PeerSucceed(5300), Fail(5000, 1), Fail(5001, 2), Fail(5002, 3)] => false;
+    one_of_the_others_responds: [PeerSucceed(5300), Fail(5000, 1), Fail(5200, 2), Succeed(5300), Fail(5400, 3)] => false;
+    a_response_ends_a_cut: [PeerSucceed(5300), Fail(5000, 1), Fail(5200, 2), Fail(5400, 3), Succeed(6000)] => false;
 }
 
 #[test]
 fn instance_takes_callers_again_at_once() {
     let cut = [
-        PeerSucceed(5000),
+        PeerSucceed(5300),
         Fail(5000, 1),
         Fail(5200, 2),
         Fail(5400, 3),
