fix: an instance that reaches the servers again is passed no requests

For five seconds after its cut an instance takes no callers. It also was passed no requests by instances that were still cut off, and where all others had just come back, these had nobody to pass to and lost requests on their own paths. Heartbeats now say both by themselves: whether the sender reaches the servers, and whether it should take callers.

Unit test of the choice.

--- a/crates/wb-gateway/src/peers/heartbeat.rs
+++ b/crates/wb-gateway/src/peers/heartbeat.rs
@@ -43,6 +43,7 @@
         listing_age: state.listing_age(context.now()),
         listing_digest: Some(state.listing.digest()),
         path: PathReport {
+            is_cut: state.reach.is_cut(),
             avoids_callers: state.reach.avoids_callers(context.now()),
             success_age: state.reach.success_age(context.now()),
         },
@@ -78,7 +79,7 @@
     decay_evidence(&mut state, now);
     limits::expire(&mut state, now);
     let avoids_callers = state.reach.avoids_callers(now);
-    state.steering.set_cut(avoids_callers);
+    state.steering.set_avoiding(avoids_callers);
     update_homes(context, &mut state);
     // An instance that reaches no servers is no candidate, but the candidates have to know why.
     if (state.steering.is_candidate() || avoids_callers) && !context.is_leaving() {
@@ -98,7 +99,7 @@
 
 /// Tells all instances at once that this one reaches no servers, and takes no more callers.
 pub fn announce_cut(context: &Context, state: &mut State) {
-    state.steering.set_cut(true);
+    state.steering.set_avoiding(true);
     update_homes(context, state);
     let packet = heartbeat(context, state, false);
     context.send_packet(packet, state.steering.peer_addresses());
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -161,6 +161,8 @@
 /// Path of an instance to the backend servers.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PathReport {
+    /// Whether it reaches no servers.
+    pub is_cut: bool,
     /// Whether it should take no callers, since it reaches no servers, or began to a moment ago.
     pub avoids_callers: bool,
     /// Time since a server last responded to it.
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -20,6 +20,7 @@
 use super::limits;
 use super::packet::Heartbeat;
 use super::packet::LimitReport;
+use super::packet::PathReport;
 use super::packet::RequestCounts;
 use super::quarantine;
 use crate::Context;
@@ -84,9 +85,14 @@
     if let Some(age) = heartbeat.path.success_age {
         state.reach.record_peer_success(now.saturating_sub(age));
     }
-    let cut = heartbeat.path.avoids_callers;
-    if state.steering.record_cut(&name, cut, now) {
-        line!(Event::ServersUnreachable, cut = cut, from = name);
+    let PathReport {
+        is_cut,
+        avoids_callers,
+        ..
+    } = heartbeat.path;
+    state.steering.record_avoiding(&name, avoids_callers, now);
+    if state.steering.record_cut(&name, is_cut, now) {
+        line!(Event::ServersUnreachable, cut = is_cut, from = name);
         // What it has reported of the servers was its own fault.
         for service in state.services.values_mut() {
             service.balancer.retract_peer_evidence(now);
--- a/crates/wb-gateway/tests/packet.rs
+++ b/crates/wb-gateway/tests/packet.rs
@@ -36,7 +36,7 @@
 
 #[test]
 fn heartbeat_without_a_digest_is_read() {
-    let old = shortened(&Packet::Heartbeat(Box::new(heartbeat())), 4);
+    let old = shortened(&Packet::Heartbeat(Box::new(heartbeat())), 5);
     let want = Heartbeat {
         listing_digest: None,
         ..heartbeat()
@@ -46,7 +46,7 @@
 
 #[test]
 fn heartbeat_without_a_path_is_read() {
-    let old = shortened(&Packet::Heartbeat(Box::new(heartbeat())), 2);
+    let old = shortened(&Packet::Heartbeat(Box::new(heartbeat())), 3);
     assert_eq!(old, Packet::Heartbeat(Box::new(heartbeat())));
 }
 
--- a/crates/wb-members/src/steering/mod.rs
+++ b/crates/wb-members/src/steering/mod.rs
@@ -81,6 +81,8 @@
     home_at: Option<Moment>,
     /// Time of its last heartbeat if that said that it reaches no servers, `None` otherwise.
     cut_at: Option<Moment>,
+    /// Time of its last heartbeat if that said that it should take no callers, `None` otherwise.
+    avoiding_at: Option<Moment>,
 }
 
 impl Peer {
@@ -89,6 +91,12 @@
         let recent = |at| now.saturating_sub(at) <= timeout;
         self.cut_at.is_some_and(recent)
     }
+
+    /// Whether it has said within `timeout` that it should take no callers.
+    fn avoids_callers(&self, timeout: Duration, now: Moment) -> bool {
+        let recent = |at| now.saturating_sub(at) <= timeout;
+        self.avoiding_at.is_some_and(recent)
+    }
 }
 
 /// The homes and candidates as one instance sees them.
@@ -97,8 +105,8 @@
     options: Options,
     own: Card,
     leaving: bool,
-    /// Whether this instance reaches no servers.
-    cut: bool,
+    /// Whether this instance should take no callers, since it reaches no servers.
+    avoiding: bool,
     peers: HashMap<InstanceName, Peer>,
     /// CPU share that the homes need together, in cores.
     required_cores: f32,
@@ -113,7 +121,7 @@
             options,
             own,
             leaving: false,
-            cut: false,
+            avoiding: false,
             peers: HashMap::new(),
             required_cores: 0.0,
             candidates: Vec::new(),
@@ -137,6 +145,7 @@
             if peer.card.incarnation != card.incarnation {
                 peer.left = false;
                 peer.cut_at = None;
+                peer.avoiding_at = None;
             }
             peer.card = card;
             return false;
@@ -150,6 +159,7 @@
             left: false,
             home_at: None,
             cut_at: None,
+            avoiding_at: None,
         };
         self.peers.insert(name, peer);
         true
@@ -194,9 +204,16 @@
         cut && !was_cut
     }
 
-    /// Sets whether this instance reaches no servers.
-    pub fn set_cut(&mut self, cut: bool) {
-        self.cut = cut;
+    /// Records whether an instance should take no callers, as its heartbeat says.
+    pub fn record_avoiding(&mut self, name: &str, avoiding: bool, now: Moment) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.avoiding_at = avoiding.then_some(now);
+        }
+    }
+
+    /// Sets whether this instance should take no callers.
+    pub fn set_avoiding(&mut self, avoiding: bool) {
+        self.avoiding = avoiding;
     }
 
     /// Marks an instance as left.
@@ -239,15 +256,17 @@
         changed
     }
 
-    /// Live instances in the ranking that all agree on. Those that reach no servers are passed over,
-    /// unless there is no other.
+    /// Live instances in the ranking that all agree on. Those that should take no callers are passed
+    /// over, unless there is no other.
     fn ranked(&self, now: Moment) -> Vec<InstanceName> {
         let live = |peer: &&Peer| !peer.silent && !peer.left;
         let others: Vec<&Peer> = self.peers.values().filter(live).collect();
         let timeout = self.options.cut_timeout;
-        let reaching = others.iter().filter(|peer| !peer.is_cut(timeout, now));
-        let own = (!self.leaving && !self.cut).then_some(&self.own);
-        let ranked = rank::rank(reaching.map(|peer| &peer.card).chain(own));
+        let willing = others
+            .iter()
+            .filter(|peer| !peer.avoids_callers(timeout, now));
+        let own = (!self.leaving && !self.avoiding).then_some(&self.own);
+        let ranked = rank::rank(willing.map(|peer| &peer.card).chain(own));
         if !ranked.is_empty() {
             return ranked;
         }
--- a/crates/wb-members/tests/steer.rs
+++ b/crates/wb-members/tests/steer.rs
@@ -60,9 +60,9 @@
     let now = Duration::from_secs(1);
     for index in 1..8 {
         steering.record_heartbeat(card(index, 0.5), false, now);
-        steering.record_cut(&card(index, 0.5).name, cut.contains(&index), now);
+        steering.record_avoiding(&card(index, 0.5).name, cut.contains(&index), now);
     }
-    steering.set_cut(own_cut);
+    steering.set_avoiding(own_cut);
     steering.update_homes(now);
     let index = |name: &wb_types::id::InstanceName| name[6..].parse().expect("a number");
     steering.homes().iter().map(index).collect()
@@ -89,6 +89,7 @@
     let other = card(1, 0.5);
     let now = Duration::from_secs(1);
     steering.record_heartbeat(other.clone(), true, now);
+    steering.record_avoiding(&other.name, true, now);
     assert!(steering.record_cut(&other.name, true, now));
     assert!(!steering.record_cut(&other.name, true, now));
     steering.update_homes(now);
@@ -99,6 +100,7 @@
     steering.update_homes(later);
     assert!(steering.homes().contains(&other.name));
     assert!(steering.record_cut(&other.name, true, later));
+    steering.record_avoiding(&other.name, true, later);
     let again = Card {
         incarnation: 2,
         ..other
@@ -107,3 +109,25 @@
     steering.update_homes(later);
     assert!(steering.homes().contains(&again.name));
 }
+
+#[test]
+fn instance_that_reaches_the_servers_again_is_passed_no_requests() {
+    let mut steering = Steering::new(Options::default(), card(0, 0.5));
+    let now = Duration::from_secs(1);
+    for index in 1..4 {
+        let name = card(index, 0.5).name;
+        steering.record_heartbeat(card(index, 0.5), false, now);
+        // All take no callers yet, one of them reaches no servers.
+        steering.record_avoiding(&name, true, now);
+        steering.record_cut(&name, index == 1, now);
+    }
+    steering.set_avoiding(true);
+    steering.update_homes(now);
+    let mut reaching: Vec<_> = steering
+        .reaching_peers(now)
+        .into_iter()
+        .map(|(name, _)| name)
+        .collect();
+    reaching.sort();
+    assert_eq!(reaching, [card(2, 0.5).name, card(3, 0.5).name]);
+}
