refactor: the check of a response has a file of its own

attempt.rs held the check and the buffering of responses besides the attempt, and the exchange of a request was 75 lines long. No change of behaviour.

--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -4,12 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use tokio::task::JoinHandle;
 use wb_balance::AttemptOutcome;
 use wb_balance::Evidence;
@@ -21,11 +18,10 @@
 use wb_http::body;
 use wb_http::header::end_to_end;
 use wb_http::pool::Connection;
-use wb_http::pool::PooledResponse;
-use wb_http::pool::ResponseBody;
 use wb_types::id::Moment;
 
-use super::claim::Claim;
+use super::checked;
+use super::checked::CheckedResponse;
 use super::crash;
 use super::leaving;
 use super::leaving::Receiver;
@@ -45,9 +41,6 @@
     idle_timeout: Duration::from_secs(8),
     ack_timeout: Duration::from_secs(5),
 };
-/// Responses up to this size, in bytes, are buffered before they are passed on, so that a request
-/// can be retried if its response breaks off. A small instance has memory for a few hundred of them.
-const BUFFER_MAX: u64 = 256 * 1024;
 
 /// An attempt counts against its server after this multiple of the typical latency, which one in
 /// thirty exceeds at a healthy server.
@@ -173,48 +166,68 @@
             response.await
         }
     };
-    let outcome = match result {
+    match result {
         Some(Ok((idle_time, checked))) => {
             match idle_time {
                 Some(idle_time) => slot.record_reuse(idle_time),
                 None => slot.explain_reset(true),
             }
-            let broken = matches!(checked, CheckedResponse::Broken(_));
-            let investigation = broken.then(|| crash::investigate(&slot, started));
-            let outcome = finish(&context, &routed, checked, slot, started);
-            if let Some(investigation) = investigation {
-                wait_for(investigation).await;
-            }
-            outcome
-        }
-        Some(Err(SendError::NotSent { request, .. })) if reused => {
-            return Err(Box::new((slot, *request)));
+            Ok(finish_checked(&context, &routed, checked, slot, started).await)
         }
-        Some(Err(SendError::NotSent { request, reason })) => {
+        Some(Err(SendError::NotSent { request, .. })) if reused => Err(Box::new((slot, *request))),
+        Some(Err(err)) => Ok(finish_failed(&context, &routed, err, slot, started).await),
+        None => Ok(time_out(&context, &routed, slot)),
+    }
+}
+
+/// Ends an attempt with a response.
+async fn finish_checked(
+    context: &Arc<Context>,
+    routed: &RoutedRequest,
+    checked: CheckedResponse,
+    slot: Slot,
+    started: Moment,
+) -> Outcome {
+    let broken = matches!(checked, CheckedResponse::Broken(_));
+    let investigation = broken.then(|| crash::investigate(&slot, started));
+    let outcome = finish(context, routed, checked, slot, started);
+    if let Some(investigation) = investigation {
+        wait_for(investigation).await;
+    }
+    outcome
+}
+
+/// Ends an attempt without a response.
+async fn finish_failed(
+    context: &Context,
+    routed: &RoutedRequest,
+    err: SendError,
+    slot: Slot,
+    started: Moment,
+) -> Outcome {
+    match err {
+        SendError::NotSent { request, reason } => {
             let err = io::Error::new(io::ErrorKind::ConnectionReset, reason);
-            fail_unsent(&context, &routed, slot, *request, &err)
+            fail_unsent(context, routed, slot, *request, &err)
         }
-        Some(Err(SendError::NoResponse { reason, idle_time })) => {
+        SendError::NoResponse { reason, idle_time } => {
             let took = context.now().saturating_sub(started);
             let investigation = crash::investigate(&slot, started);
-            path::record_failure(&context, &slot.assignment.server.name);
-            let outcome = handle_reset(&routed, slot, &reason, idle_time, took);
+            path::record_failure(context, &slot.assignment.server.name);
+            let outcome = handle_reset(routed, slot, &reason, idle_time, took);
             wait_for(investigation).await;
             outcome
         }
-        None => {
-            path::record_failure(&context, &slot.assignment.server.name);
-            log_failure(
-                &routed,
-                &slot,
-                "timeout",
-                "no complete response before the deadline",
-            );
-            slot.release(AttemptOutcome::Timeout);
-            Outcome::Indeterminate { reason: "timeout" }
-        }
-    };
-    Ok(outcome)
+    }
+}
+
+/// Ends an attempt that has no complete response at the request's deadline.
+fn time_out(context: &Context, routed: &RoutedRequest, slot: Slot) -> Outcome {
+    path::record_failure(context, &slot.assignment.server.name);
+    let error = "no complete response before the deadline";
+    log_failure(routed, &slot, "timeout", error);
+    slot.release(AttemptOutcome::Timeout);
+    Outcome::Indeterminate { reason: "timeout" }
 }
 
 /// Waits until it is known whether a server has ended, so that the request is not sent again before.
@@ -240,7 +253,7 @@
     leaving::observe(context, routed, &receiver, &response);
     pause::observe(context, routed, receiver.key, response.status(), headers);
     let idle_time = response.body().idle_time();
-    Ok((idle_time, check_response(context, routed, response).await))
+    Ok((idle_time, checked::check(context, routed, response).await))
 }
 
 /// Ends an attempt of which no byte was sent.
@@ -343,72 +356,6 @@
     request
 }
 
-/// Response of a server, checked.
-enum CheckedResponse {
-    Buffered(Response<Bytes>),
-    Streaming(PooledResponse, Bytes),
-    Shed,
-    Misdirected,
-    Invalid(String),
-    /// The connection was cut in the body.
-    Broken(String),
-}
-
-/// Checks a response, and buffers it if it is small.
-async fn check_response(
-    context: &Context,
-    routed: &RoutedRequest,
-    response: PooledResponse,
-) -> CheckedResponse {
-    let claim = Claim::of(context, routed, &response);
-    let status = response.status();
-    let (parts, mut stream) = response.into_parts();
-    match claim {
-        Claim::Answered => {}
-        Claim::Shed => return CheckedResponse::Shed,
-        Claim::Misdirected => return CheckedResponse::Misdirected,
-        Claim::Invalid(error) => {
-            stream.close();
-            return CheckedResponse::Invalid(error.to_owned());
-        }
-    }
-    match read_prefix(&mut stream).await {
-        Ok(Prefix::Whole(data)) => CheckedResponse::Buffered(Response::from_parts(parts, data)),
-        Ok(Prefix::Part(data)) if status.is_success() => {
-            CheckedResponse::Streaming(Response::from_parts(parts, stream), data)
-        }
-        Ok(Prefix::Part(_)) => {
-            CheckedResponse::Invalid(format!("{status} with more than {BUFFER_MAX} bytes"))
-        }
-        Err(err) => CheckedResponse::Broken(err.to_string()),
-    }
-}
-
-/// First bytes of a body.
-enum Prefix {
-    /// All of it.
-    Whole(Bytes),
-    /// More than is buffered; the rest can still be read.
-    Part(Bytes),
-}
-
-/// Reads a body up to the size that is buffered. A faulty server may send without end.
-async fn read_prefix(body: &mut ResponseBody) -> Result<Prefix, hyper::Error> {
-    let mut bytes = BytesMut::new();
-    if http_body::Body::size_hint(body).lower() > BUFFER_MAX {
-        return Ok(Prefix::Part(bytes.freeze()));
-    }
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            bytes.extend_from_slice(&data);
-        }
-        if bytes.len() as u64 > BUFFER_MAX {
-            return Ok(Prefix::Part(bytes.freeze()));
-        }
-    }
-    Ok(Prefix::Whole(bytes.freeze()))
-}
-
 fn finish(
     context: &Arc<Context>,
     routed: &RoutedRequest,
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 //! - [`forward`]: attempts, retries and hedged attempts.
 //! - [`slot`]: slots at backend servers.
 //! - [`attempt`]: one attempt at one server.
+//! - `checked`: the check of a response.
 //! - [`claim`]: what the head of a response says about the request.
 //! - [`request_key`]: when two requests are the same.
 //! - [`crash`]: servers that end while they have a request.
@@ -18,6 +19,7 @@
 //!   request.
 
 pub mod attempt;
+mod checked;
 pub mod claim;
 pub mod crash;
 pub mod forward;
