fix: requests are passed on where this instance has no connection left

Two attempts that met this instance's own limit of connections to a server counted like two servers that can't be connected. Only the latter do.

--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -48,6 +48,9 @@
 /// Shortest time after which an attempt counts against its server.
 const OVERDUE_MIN: Duration = Duration::from_millis(200);
 
+/// Reason of an attempt whose server could not be connected.
+pub const UNREACHABLE: &str = "unreachable";
+
 /// Result of an attempt.
 pub enum Outcome {
     /// A complete response, or one that is too large to buffer and is streamed.
@@ -266,13 +269,18 @@
 ) -> Outcome {
     log_failure(routed, &slot, "unreachable", &err.to_string());
     // Any other error is one of this instance, such as its limit of connections.
-    if err.kind() != io::ErrorKind::Other {
+    let path_failed = err.kind() != io::ErrorKind::Other;
+    if path_failed {
         path::record_failure(context, &slot.assignment.server.name);
     }
     slot.explain_reset(false);
     slot.release(AttemptOutcome::Failure(Evidence::Unreachable));
     Outcome::NotExecuted {
-        reason: "unreachable",
+        reason: if path_failed {
+            UNREACHABLE
+        } else {
+            "no_connection"
+        },
         reached: false,
         body: Some(request.into_body()),
     }
--- a/crates/wb-gateway/src/proxy/forward.rs
+++ b/crates/wb-gateway/src/proxy/forward.rs
@@ -43,8 +43,8 @@
 /// Most attempts of a request that end without a byte sent: each takes up to half a second.
 const CONNECT_FAILURES_MAX: u32 = 4;
 
-/// Servers to which no connection could be opened for a request, from which the path of this instance
-/// may be cut: fewer than that end now and then.
+/// Attempts of a request whose server could not be connected, from which on the path of this instance may
+/// be cut: fewer than that end now and then.
 const PATH_FAILURES: u32 = 2;
 /// Servers that ended while they had a request, from which it is sent to no second one in the same
 /// attempt of its caller.
@@ -63,6 +63,8 @@
     passed_to: Vec<InstanceName>,
     attempts: u32,
     connect_failures: u32,
+    /// Attempts whose server could not be connected.
+    path_failures: u32,
     /// Whether a server may have executed the request without a valid response.
     maybe_run: bool,
     /// Reason of the last attempt that failed.
@@ -89,6 +91,7 @@
         passed_to: Vec::new(),
         attempts: 0,
         connect_failures: 0,
+        path_failures: 0,
         maybe_run: false,
         last_reason: "",
         server_error: None,
@@ -181,7 +184,7 @@
     fn is_cut(&self) -> bool {
         let state = self.context.state();
         let reach = &state.reach;
-        let failed = self.connect_failures >= PATH_FAILURES;
+        let failed = self.path_failures >= PATH_FAILURES;
         reach.is_cut() || (failed && reach.peers_may_serve(self.context.now()))
     }
 
@@ -282,6 +285,7 @@
                 }
                 self.attempts -= 1;
                 self.connect_failures += 1;
+                self.path_failures += u32::from(reason == attempt::UNREACHABLE);
                 (reason, AttemptKind::Reassign)
             }
             Outcome::NotExecuted { reason, .. } => (reason, AttemptKind::Retry),
