fix: a later process's statement that it leaves frees the server that is listed

A server that had said that it was leaving started again and said so again, before an instance had read the row of the new process. The second statement took the place of the first, but was for a process that the instance didn't know, so that it used the server again until its list was read, 2.7 s later. A statement of a later process now holds for the listed one, too.

Unit test red before.

--- a/crates/wb-members/src/listing/statements.rs
+++ b/crates/wb-members/src/listing/statements.rs
@@ -36,10 +36,11 @@
         true
     }
 
-    /// Whether the server has said that it is leaving since this start of its process.
+    /// Whether the server has said that it is leaving since this start of its process, or a later one
+    /// of which the row is not known yet.
     pub fn is_leaving(&self, server: &str, lifetime: Lifetime) -> bool {
         let known = self.0.get(server);
-        known.is_some_and(|known| known.lifetime == lifetime)
+        known.is_some_and(|known| known.lifetime >= lifetime)
     }
 
     /// All statements.
--- a/crates/wb-members/tests/listing.rs
+++ b/crates/wb-members/tests/listing.rs
@@ -359,3 +359,14 @@
     assert_eq!(sender.content_version(), other.content_version());
     assert_ne!(sender.digest(), other.digest());
 }
+
+#[test]
+fn statement_of_a_process_that_is_not_listed_yet_frees_the_server() {
+    let mut listing = listing(&["s1"]);
+    let lifecycle = |listing: &Listing| listing.servers().next().map(|(_, lifecycle)| lifecycle);
+    assert!(listing.record_leaving(&"s1".into(), 1, at(100)));
+    assert_eq!(lifecycle(&listing), Some(Lifecycle::Leaving));
+    // It has started again and still leaves, and the row that says so is late.
+    assert!(listing.record_leaving(&"s1".into(), 2, at(200)));
+    assert_eq!(lifecycle(&listing), Some(Lifecycle::Leaving));
+}
