test: the soak cuts connections of instances to the servers altogether

Its links can't refuse new connections of one source while old ones live: they accept and close them, after a request may have been sent.

--- a/crates/wb-soak/src/testbed.rs
+++ b/crates/wb-soak/src/testbed.rs
@@ -1,6 +1,6 @@
 //! Gateway processes, stand-ins for the store and backend servers, and the links between them.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fs;
 use std::fs::File;
 use std::io;
@@ -38,7 +38,6 @@
 use wb_stand::published::store::Backup;
 use wb_stand::published::store::StoreHandler;
 use wb_stand::relay::Relay;
-use wb_stand::relay::SourceCut;
 
 /// Number of subnets of the loopback network, of which each run at a time has one.
 const SUBNETS: u32 = 200;
@@ -163,7 +162,7 @@
     /// Requests that make the servers of a service end.
     pub crash_rule: Option<CrashRule>,
     /// Instances whose path to all servers is cut, by their addresses.
-    path_cuts: HashMap<IpAddr, SourceCut>,
+    path_cuts: HashSet<IpAddr>,
     /// State of the store from a while ago.
     backup: Backup,
     /// Version of the configuration last written.
@@ -200,7 +199,7 @@
             backends: Vec::new(),
             instances: Vec::new(),
             crash_rule: None,
-            path_cuts: HashMap::new(),
+            path_cuts: HashSet::new(),
             version: 0,
             subnet,
             options,
@@ -250,12 +249,13 @@
     }
 
     /// Cuts the path of an instance to all servers, or no longer.
-    pub fn set_path_cut(&mut self, instance: usize, cut: Option<SourceCut>) {
+    pub fn set_path_cut(&mut self, instance: usize, cut: bool) {
         let source = self.instances[instance].ip;
-        match cut {
-            Some(cut) => self.path_cuts.insert(source, cut),
-            None => self.path_cuts.remove(&source),
-        };
+        if cut {
+            self.path_cuts.insert(source);
+        } else {
+            self.path_cuts.remove(&source);
+        }
         for backend in &self.backends {
             backend.link.set_source_cut(source, cut);
         }
@@ -311,8 +311,8 @@
         if service == CRASHING_SERVICE {
             server.set_crash_rule(self.crash_rule.clone());
         }
-        for (source, cut) in &self.path_cuts {
-            link.set_source_cut(*source, Some(*cut));
+        for source in &self.path_cuts {
+            link.set_source_cut(*source, true);
         }
         self.backends.push(Backend {
             server,
--- a/crates/wb-soak/tests/soak.rs
+++ b/crates/wb-soak/tests/soak.rs
@@ -29,6 +29,8 @@
     seed_8014: 8014, 6, 5, 15, false;
     // All instances were cut off, and those that were cut last counted as the others.
     seed_8045: 8045, 6, 5, 15, false;
+    // A server's new process had said that it was leaving before its row was known.
+    seed_8507: 8507, 6, 5, 15, false;
     // Servers that had said in responses that they were leaving, or had asked for a pause, were used.
     seed_6001: 6001, 6, 5, 15, false;
     // Requests that were taken late in the grace were cut, and answers of servers got lost.
--- a/crates/wb-stand/src/relay/mod.rs
+++ b/crates/wb-stand/src/relay/mod.rs
@@ -1,6 +1,6 @@
 //! TCP relay that stands in for a network link and can be cut, also in one direction.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,17 +38,8 @@
     Silent,
 }
 
-/// Which connections from a source are cut.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SourceCut {
-    /// All of them.
-    All,
-    /// New ones; open ones work.
-    New,
-}
-
 /// Sources whose connections are cut.
-type SourceCuts = HashMap<IpAddr, SourceCut>;
+type SourceCuts = HashSet<IpAddr>;
 
 /// One link: listens on an address and forwards connections to a target.
 pub struct Relay {
@@ -75,12 +66,13 @@
     }
 
     /// Cuts connections from a source, or no longer.
-    pub fn set_source_cut(&self, source: IpAddr, cut: Option<SourceCut>) {
+    pub fn set_source_cut(&self, source: IpAddr, cut: bool) {
         self.cuts.send_modify(|cuts| {
-            match cut {
-                Some(cut) => cuts.insert(source, cut),
-                None => cuts.remove(&source),
-            };
+            if cut {
+                cuts.insert(source);
+            } else {
+                cuts.remove(&source);
+            }
         });
     }
 
@@ -107,9 +99,8 @@
 impl State {
     /// Returns when all connections from a source are cut.
     async fn until_closed(mut self, source: IpAddr) {
-        let all = |cuts: &SourceCuts| cuts.get(&source) == Some(&SourceCut::All);
         let closed = tokio::select! {
-            result = self.cuts.wait_for(all) => result.is_ok(),
+            result = self.cuts.wait_for(|cuts| cuts.contains(&source)) => result.is_ok(),
             result = self.down.wait_for(|down| *down) => result.is_ok(),
         };
         if !closed {
@@ -142,7 +133,7 @@
 
 async fn accept(listener: TcpListener, target: SocketAddr, state: &State) {
     while let Ok((stream, peer)) = listener.accept().await {
-        let cut = state.cuts.borrow().contains_key(&peer.ip());
+        let cut = state.cuts.borrow().contains(&peer.ip());
         if cut || *state.link.borrow() == Link::Cut {
             continue;
         }
