--- a/crates/wb-soak/src/check.rs
+++ b/crates/wb-soak/src/check.rs
@@ -242,10 +242,10 @@
 }
 
 /// Checks that a server gets next to nothing from an instance that it has asked for a pause, unless
-/// the instance was stopped, restarted or cut off.
+/// the instance was stopped, restarted or cut off, or the server's link may have lost what it asked.
 fn check_pauses(testbed: &Testbed, senders: &Senders<'_>, faults: &[Fault]) -> Vec<String> {
     let mut violations = Vec::new();
-    for backend in &testbed.backends {
+    for (index, backend) in testbed.backends.iter().enumerate() {
         let arrivals = backend.server.arrivals();
         for asked in &arrivals {
             let sender = senders.get(asked.id.as_str());
@@ -258,7 +258,10 @@
                     && senders.get(arrival.id.as_str()) == Some(sender)
             });
             let count = in_pause.count();
-            let disturbs = |fault: &Fault| fault.instances.contains(sender);
+            let disturbs = |fault: &Fault| {
+                let is_link = fault.name == "server_cut" && fault.servers.contains(&index);
+                is_link || fault.instances.contains(sender)
+            };
             if count > PAUSE_REQUESTS_MAX && is_undisturbed(faults, disturbs, at, at + length) {
                 violations.push(format!(
                     "server {} got {count} requests of an instance that it had asked for a pause of {length:?}",
