review: show requests to a server whose row was removed

Cause: a failed call of an instance counts as an outage of the store, and removed rows are taken for lapsed ones for 2.3 s, longer than drain_ms.

Change: case 2 with its script, and a relay whose connections go silent.

--- /dev/null
+++ b/review/stand/src/bin/lapsed_server.rs
@@ -0,0 +1,116 @@
+//! The open connections to the store go silent while new ones work. A second later a server leaves whose
+//! row is removed without a report of its own.
+
+use std::io;
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+use review_stand::relay::Relay;
+use review_stand::trial;
+use review_stand::trial::Ended;
+use review_stand::trial::Route;
+use review_stand::trial::Trial;
+use review_stand::trial::Verdict;
+
+/// `stable_window_ms` of the settings: machines are in touch again so long after the silence began.
+const STABLE_WINDOW: Duration = Duration::from_millis(3000);
+/// `drain_ms` of the settings.
+const DRAIN_TIME: Duration = Duration::from_millis(2000);
+/// Time from the begin of the silence to the removal of the row.
+const REMOVAL_DELAY: Duration = Duration::from_millis(1000);
+/// Time from the begin of the silence to the requests.
+const SEND_DELAY: Duration = Duration::from_millis(3300);
+/// Requests to each daemon at the same time.
+const REQUESTS: usize = 4;
+
+const PATH: &str = "/orders/7";
+const LEAVER: &str = "i-leaver";
+
+fn sleep_until(trial: &Trial, at: Duration) {
+    thread::sleep(at.saturating_sub(trial.record.now()));
+}
+
+/// Sends requests to all daemons at the same time.
+fn send_all(trial: &Trial) -> Vec<Ended> {
+    thread::scope(|scope| {
+        let daemons = trial.daemons.iter();
+        let senders: Vec<_> = daemons
+            .flat_map(|daemon| std::iter::repeat_n(daemon, REQUESTS))
+            .map(|daemon| {
+                scope.spawn(move || trial.send(daemon, "POST", PATH, Duration::from_secs(2)))
+            })
+            .collect();
+        senders
+            .into_iter()
+            .filter_map(|sender| sender.join().ok())
+            .collect()
+    })
+}
+
+fn run() -> io::Result<ExitCode> {
+    let mut trial = Trial::new()?;
+    let relay = Relay::start(trial.address(250, 3), trial.store_address)?;
+    trial.store_address = relay.address;
+    let orders = Route {
+        prefix: "/orders/",
+        kind: "unsafe",
+        service: "registry",
+    };
+    trial.configure(1, &[orders]);
+    for id in ["i-stays1", "i-stays2"] {
+        trial.add_server(id, "registry")?;
+    }
+    let leaver = trial.add_server(LEAVER, "registry")?;
+    if !trial.start_daemons(3)? {
+        return Ok(trial.end(Verdict::NotRun, "the daemons did not become ready"));
+    }
+    // The daemons have found each other.
+    thread::sleep(Duration::from_secs(3));
+    for _ in 0..5 {
+        send_all(&trial);
+    }
+    thread::sleep(Duration::from_secs(1));
+    let begun = trial.record.now();
+    if trial::has_trouble() {
+        relay.silence();
+        trial.record.line("the open connections to the store go silent");
+    }
+    sleep_until(&trial, begun + REMOVAL_DELAY);
+    leaver.manner().leaving = true;
+    trial.store.remove("servers", LEAVER);
+    let removed = trial.record.now();
+    trial
+        .record
+        .line(&format!("store acknowledges the removal of the row of {LEAVER}"));
+    sleep_until(&trial, begun + SEND_DELAY);
+    let ended = send_all(&trial);
+    let in_touch = ended
+        .iter()
+        .filter(|one| one.sent >= begun + STABLE_WINDOW && one.sent > removed + DRAIN_TIME);
+    let late: Vec<Duration> = in_touch
+        .flat_map(|one| trial.runs.of(&one.id))
+        .filter(|run| run.server == LEAVER && run.began > removed + DRAIN_TIME)
+        .map(|run| run.began - removed)
+        .collect();
+    let what = format!(
+        "{} of {} requests reached {LEAVER} later than {} ms after the removal of its row, at most {} ms",
+        late.len(),
+        ended.len(),
+        DRAIN_TIME.as_millis(),
+        late.iter().max().unwrap_or(&Duration::ZERO).as_millis()
+    );
+    let verdict = if late.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    };
+    Ok(trial.end(verdict, &what))
+}
+
+fn main() -> ExitCode {
+    run().unwrap_or_else(|err| {
+        println!("not run: {err}");
+        ExitCode::from(2)
+    })
+}
