--- a/review/stand/src/bin/lapsed_server.rs
+++ b/review/stand/src/bin/lapsed_server.rs
@@ -1,4 +1,4 @@
-//! The open connections to the store go silent while new ones work. A second later a server leaves whose
+//! The last machine is cut off from the store for a few seconds. A second after that a server leaves whose
 //! row is removed without a report of its own.
 
 use std::io;
@@ -13,16 +13,18 @@
 use review_stand::trial::Trial;
 use review_stand::trial::Verdict;
 
-/// `stable_window_ms` of the settings: machines are in touch again so long after the silence began.
+/// `stable_window_ms` of the settings: the machine is in touch again so long after the end of the cut.
 const STABLE_WINDOW: Duration = Duration::from_millis(3000);
 /// `drain_ms` of the settings.
 const DRAIN_TIME: Duration = Duration::from_millis(2000);
-/// Time from the begin of the silence to the removal of the row.
+/// Time for which the machine is cut off from the store.
+const CUT_TIME: Duration = Duration::from_millis(4000);
+/// Time from the end of the cut to the removal of the row.
 const REMOVAL_DELAY: Duration = Duration::from_millis(1000);
-/// Time from the begin of the silence to the requests.
-const SEND_DELAY: Duration = Duration::from_millis(3300);
-/// Requests to each daemon at the same time.
-const REQUESTS: usize = 4;
+/// Time from the end of the cut to the requests.
+const SEND_DELAY: Duration = Duration::from_millis(3200);
+/// Requests at the same time.
+const REQUESTS: usize = 9;
 
 const PATH: &str = "/orders/7";
 const LEAVER: &str = "i-leaver";
@@ -31,7 +33,7 @@
     thread::sleep(at.saturating_sub(trial.record.now()));
 }
 
-/// Sends requests to all daemons at the same time.
+/// Sends requests to the daemon at the same time.
 fn send_all(trial: &Trial) -> Vec<Ended> {
     thread::scope(|scope| {
         let daemons = trial.daemons.iter();
@@ -62,20 +64,22 @@
         trial.add_server(id, "registry")?;
     }
     let leaver = trial.add_server(LEAVER, "registry")?;
-    if !trial.start_daemons(3)? {
-        return Ok(trial.end(Verdict::NotRun, "the daemons did not become ready"));
+    if !trial.start_daemons(1)? {
+        return Ok(trial.end(Verdict::NotRun, "the daemon did not become ready"));
     }
-    // The daemons have found each other.
     thread::sleep(Duration::from_secs(3));
     for _ in 0..5 {
         send_all(&trial);
     }
     thread::sleep(Duration::from_secs(1));
-    let begun = trial.record.now();
     if trial::has_trouble() {
-        relay.silence();
-        trial.record.line("the open connections to the store go silent");
+        relay.set_cut(true);
+        trial.record.line("the machine is cut off from the store");
     }
+    thread::sleep(CUT_TIME);
+    relay.set_cut(false);
+    let begun = trial.record.now();
+    trial.record.line("the machine reaches the store again");
     sleep_until(&trial, begun + REMOVAL_DELAY);
     leaver.manner().leaving = true;
     trial.store.remove("servers", LEAVER);
