--- a/review/stand/src/server.rs
+++ b/review/stand/src/server.rs
@@ -2,12 +2,15 @@
 
 use std::io;
 use std::io::BufReader;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -66,6 +69,8 @@
     /// Its address.
     pub address: SocketAddr,
     manner: Mutex<Manner>,
+    down: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
     runs: Arc<Runs>,
     record: Arc<Record>,
 }
@@ -92,12 +97,17 @@
                 work: Duration::from_millis(20),
                 leaving: false,
             }),
+            down: AtomicBool::new(false),
+            open: Mutex::default(),
             runs,
             record,
         });
         let serving = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.down.load(Ordering::SeqCst) {
+                    return;
+                }
                 let serving = serving.clone();
                 thread::spawn(move || serving.serve(stream));
             }
@@ -105,6 +115,18 @@
         Ok(server)
     }
 
+    /// Ends the server as a crash does: its connections are closed, and new ones are refused.
+    pub fn crash(&self) {
+        self.down.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts, which then closes the listener.
+        let _ = TcpStream::connect(self.address);
+        for stream in self.open.lock().expect("lock is not poisoned").drain(..) {
+            // The peer may have closed it already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        self.record.line(&format!("server {} crashes", self.id));
+    }
+
     /// What the server does with each request.
     pub fn manner(&self) -> MutexGuard<'_, Manner> {
         self.manner.lock().expect("lock is not poisoned")
@@ -121,9 +143,10 @@
     fn serve(&self, stream: TcpStream) {
         // A connection that can't be set up ends like one that breaks.
         let _ = stream.set_nodelay(true);
-        let Ok(reading) = stream.try_clone() else {
+        let (Ok(reading), Ok(open)) = (stream.try_clone(), stream.try_clone()) else {
             return;
         };
+        self.open.lock().expect("lock is not poisoned").push(open);
         let mut writing = stream;
         let mut reader = BufReader::new(reading);
         while let Ok(Some(request)) = http::read_request(&mut reader) {
