review: take a subnet that the soak does not use

Cause: the stand-ins and the soak draw from the same loopback subnets.

Change: both mark a subnet by the same port.

--- a/review/stand/src/bin/lapsed_server.rs
+++ b/review/stand/src/bin/lapsed_server.rs
@@ -84,9 +84,9 @@
     leaver.manner().leaving = true;
     trial.store.remove("servers", LEAVER);
     let removed = trial.record.now();
-    trial
-        .record
-        .line(&format!("store acknowledges the removal of the row of {LEAVER}"));
+    trial.record.line(&format!(
+        "store acknowledges the removal of the row of {LEAVER}"
+    ));
     sleep_until(&trial, begun + SEND_DELAY);
     let ended = send_all(&trial);
     let in_touch = ended
--- a/review/stand/src/bin/lost_feed.rs
+++ b/review/stand/src/bin/lost_feed.rs
@@ -70,7 +70,9 @@
     thread::sleep(Duration::from_secs(4));
     let mut ended = Vec::new();
     if trial::has_trouble() {
-        trial.record.line("the store loses its responses about table op");
+        trial
+            .record
+            .line("the store loses its responses about table op");
         trial.store.set_lossy(Some("op"));
     }
     let begun = trial.record.now();
--- a/review/stand/src/trial.rs
+++ b/review/stand/src/trial.rs
@@ -27,8 +27,8 @@
 const SUBNETS: u32 = 100;
 /// The lowest of them.
 const SUBNET_MIN: u32 = 60;
-/// Port that marks a subnet as taken.
-const MARK_PORT: u16 = 8151;
+/// Port that marks a subnet as taken, also for the project's own soak.
+const MARK_PORT: u16 = 8150;
 
 /// Result of a case.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -88,7 +88,9 @@
 
 /// Whether the disruption is to take place.
 pub fn has_trouble() -> bool {
-    std::env::var("TROUBLE").is_ok_and(|value| value == "0").eq(&false)
+    std::env::var("TROUBLE")
+        .is_ok_and(|value| value == "0")
+        .eq(&false)
 }
 
 /// Unix milliseconds now.
@@ -130,9 +132,11 @@
     /// Writes a configuration.
     pub fn configure(&self, version: u64, routes: &[Route]) {
         let text = config(version, routes);
-        self.record.line(&format!("operator writes version {version}"));
+        self.record
+            .line(&format!("operator writes version {version}"));
         self.store.put("op", "config", &text);
-        self.record.line(&format!("store acknowledges version {version}"));
+        self.record
+            .line(&format!("store acknowledges version {version}"));
     }
 
     /// An address of the deployment.
@@ -186,8 +190,10 @@
         let serial = self.serial.fetch_add(1, Ordering::Relaxed);
         let id = format!("{serial:016x}");
         let sent = self.record.now();
-        self.record
-            .line(&format!("caller sends {id} to {}: {method} {path}", daemon.name));
+        self.record.line(&format!(
+            "caller sends {id} to {}: {method} {path}",
+            daemon.name
+        ));
         let body: &[u8] = if method == "POST" { b"order" } else { b"" };
         let request = Request {
             method,
@@ -258,7 +264,7 @@
     let mut result = Err(io::ErrorKind::AddrInUse.into());
     for index in 0..SUBNETS {
         let subnet = (SUBNET_MIN + (first + index) % SUBNETS) as u8;
-        let mark = TcpListener::bind((Ipv4Addr::new(127, subnet, 250, 2), MARK_PORT));
+        let mark = TcpListener::bind((Ipv4Addr::new(127, subnet, 250, 1), MARK_PORT));
         result = mark.map(|mark| (subnet, mark));
         if result.is_ok() {
             break;
