--- a/review/stand/src/trial.rs
+++ b/review/stand/src/trial.rs
@@ -84,6 +84,10 @@
     pub status: u16,
     /// Servers that ran it.
     pub servers: Vec<String>,
+    /// Server that signed the response, empty if none did.
+    pub signer: String,
+    /// Whether the response says that its server is leaving.
+    pub says_leaving: bool,
 }
 
 /// Whether the disruption is to take place.
@@ -168,6 +172,15 @@
         ));
     }
 
+    /// Removes the row of a server.
+    pub fn remove_row(&self, server: &Server) {
+        self.store.remove("servers", &server.id);
+        self.record.line(&format!(
+            "store acknowledges the removal of the row of {}",
+            server.id
+        ));
+    }
+
     /// Starts daemons and waits until they are ready. Returns whether they are.
     ///
     /// # Errors
@@ -206,6 +219,14 @@
         let status = response.as_ref().map_or(0, |response| response.status());
         let runs = self.runs.of(&id);
         let servers: Vec<String> = runs.into_iter().map(|run| run.server).collect();
+        let header = |name| {
+            response
+                .as_ref()
+                .map_or("", |response| response.header(name))
+        };
+        let signature = header("x-wisteriabarrow-response-signature");
+        let signer = signature.split('.').next().unwrap_or("").to_owned();
+        let says_leaving = header("server-leaving") == "1";
         let what = match response {
             Ok(_) => status.to_string(),
             Err(err) => err.to_string(),
@@ -217,6 +238,8 @@
             sent,
             status,
             servers,
+            signer,
+            says_leaving,
         }
     }
 
