--- a/review/stand/src/bin/lapsed_server.rs
+++ b/review/stand/src/bin/lapsed_server.rs
@@ -21,10 +21,13 @@
 const CUT_TIME: Duration = Duration::from_millis(4000);
 /// Time from the end of the cut to the removal of the row.
 const REMOVAL_DELAY: Duration = Duration::from_millis(1000);
-/// Time from the end of the cut to the requests.
-const SEND_DELAY: Duration = Duration::from_millis(3200);
-/// Requests at the same time.
-const REQUESTS: usize = 9;
+/// Time from the end of the cut to the first of the requests that count.
+const SEND_DELAY: Duration = Duration::from_millis(3050);
+/// Number of these requests, and the time between two of them.
+const REQUESTS: u32 = 40;
+const INTERVAL: Duration = Duration::from_millis(30);
+/// Time that a request takes, as an order does by the sheet.
+const WORK_TIME: Duration = Duration::from_millis(390);
 
 const PATH: &str = "/orders/7";
 const LEAVER: &str = "i-leaver";
@@ -33,20 +36,19 @@
     thread::sleep(at.saturating_sub(trial.record.now()));
 }
 
-/// Sends requests to the daemon at the same time.
+/// Sends requests to the daemon at even intervals.
 fn send_all(trial: &Trial) -> Vec<Ended> {
+    let daemon = &trial.daemons[0];
+    let begun = trial.record.now();
     thread::scope(|scope| {
-        let daemons = trial.daemons.iter();
-        let senders: Vec<_> = daemons
-            .flat_map(|daemon| std::iter::repeat_n(daemon, REQUESTS))
-            .map(|daemon| {
-                scope.spawn(move || trial.send(daemon, "POST", PATH, Duration::from_secs(2)))
+        let senders: Vec<_> = (0..REQUESTS)
+            .map(|index| {
+                sleep_until(trial, begun + INTERVAL * index);
+                scope.spawn(|| trial.send(daemon, "POST", PATH, Duration::from_secs(2)))
             })
             .collect();
-        senders
-            .into_iter()
-            .filter_map(|sender| sender.join().ok())
-            .collect()
+        let ended = senders.into_iter().filter_map(|sender| sender.join().ok());
+        ended.collect()
     })
 }
 
@@ -61,25 +63,25 @@
     };
     trial.configure(1, &[orders]);
     for id in ["i-stays1", "i-stays2"] {
-        trial.add_server(id, "registry")?;
+        trial.add_server(id, "registry")?.manner().work = WORK_TIME;
     }
     let leaver = trial.add_server(LEAVER, "registry")?;
+    leaver.manner().work = WORK_TIME;
     if !trial.start_daemons(1)? {
         return Ok(trial.end(Verdict::NotRun, "the daemon did not become ready"));
     }
     thread::sleep(Duration::from_secs(3));
-    for _ in 0..5 {
-        send_all(&trial);
-    }
-    thread::sleep(Duration::from_secs(1));
+    send_all(&trial);
     if trial::has_trouble() {
         relay.set_cut(true);
         trial.record.line("the machine is cut off from the store");
     }
     thread::sleep(CUT_TIME);
-    relay.set_cut(false);
+    if trial::has_trouble() {
+        relay.set_cut(false);
+        trial.record.line("the machine reaches the store again");
+    }
     let begun = trial.record.now();
-    trial.record.line("the machine reaches the store again");
     sleep_until(&trial, begun + REMOVAL_DELAY);
     leaver.manner().leaving = true;
     trial.store.remove("servers", LEAVER);
