review: servers of the cases write heartbeats

Cause: a read of the issue beside the cases: the stand-ins wrote a row once, a panic ended a case with another code, and a run in which nothing was served would have counted as held.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,7 @@
   echo "not run: build with the command of deploy/system.toml and with review/build.sh first"
   exit 2
 fi
-exec "$case" review/3/record.txt
+"$case" review/3/record.txt
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/stand/src/bin/earlier_born.rs
+++ b/review/stand/src/bin/earlier_born.rs
@@ -21,8 +21,6 @@
 const DOWN_TIME: Duration = Duration::from_millis(500);
 /// Time from the second start until the server leaves.
 const SERVE_TIME: Duration = Duration::from_millis(6000);
-/// Interval at which the server writes its row: `heartbeat_ms` of the settings.
-const HEARTBEAT: Duration = Duration::from_millis(1500);
 /// `drain_ms` of the settings.
 const DRAIN_TIME: Duration = Duration::from_millis(2000);
 /// Time from the acknowledgement that the server is draining to the requests.
@@ -81,7 +79,7 @@
     while trial.record.now() < up + SERVE_TIME {
         trial.write_row(&again, "ready", born);
         send_all(&trial);
-        thread::sleep(HEARTBEAT);
+        thread::sleep(trial::HEARTBEAT);
     }
     again.manner().leaving = true;
     trial.write_row(&again, "draining", born);
@@ -101,7 +99,9 @@
         DRAIN_TIME.as_millis(),
         late.iter().max().unwrap_or(&Duration::ZERO).as_millis()
     );
-    let verdict = if late.is_empty() {
+    let verdict = if !ended.iter().any(|one| one.status == 200) {
+        Verdict::NotRun
+    } else if late.is_empty() {
         Verdict::Held
     } else {
         Verdict::Broken
--- a/review/stand/src/bin/lapsed_server.rs
+++ b/review/stand/src/bin/lapsed_server.rs
@@ -106,7 +106,9 @@
         DRAIN_TIME.as_millis(),
         late.iter().max().unwrap_or(&Duration::ZERO).as_millis()
     );
-    let verdict = if late.is_empty() {
+    let verdict = if !ended.iter().any(|one| one.status == 200) {
+        Verdict::NotRun
+    } else if late.is_empty() {
         Verdict::Held
     } else {
         Verdict::Broken
--- a/review/stand/src/bin/lost_feed.rs
+++ b/review/stand/src/bin/lost_feed.rs
@@ -89,11 +89,13 @@
 
     let due = acknowledged + APPLY_TIME;
     let mut all = 0;
+    let mut served = 0;
     let mut moved = 0;
     let mut missing = 0;
     let mut last = due;
     for (prefix, one) in ended.iter().filter(|(_, one)| one.sent > due) {
         all += 1;
+        served += u32::from(one.status == 200);
         let by_old = one.servers.iter().any(|server| server.starts_with("i-reg"));
         let unknown = *prefix == ADDED && one.status == 404;
         moved += u32::from(by_old);
@@ -111,7 +113,7 @@
         APPLY_TIME.as_millis(),
         (last - acknowledged).as_millis(),
     );
-    if acknowledged - calm < STABLE_WINDOW || all == 0 {
+    if acknowledged - calm < STABLE_WINDOW || served == 0 {
         return Ok(trial.end(Verdict::NotRun, &what));
     }
     let verdict = if moved + missing > 0 {
--- a/review/stand/src/daemon.rs
+++ b/review/stand/src/daemon.rs
@@ -111,31 +111,6 @@
         Ok(())
     }
 
-    /// Sends a signal to the process, by its name.
-    pub fn signal(&self, signal: &str) {
-        let Some(child) = &self.child else {
-            return;
-        };
-        let pid = child.id().to_string();
-        let status = Command::new("kill").args(["-s", signal, &pid]).status();
-        // A process that has ended needs no signal.
-        let _ = status;
-    }
-
-    /// Waits until the process has ended, and kills it after a while.
-    pub fn wait_end(&mut self, patience: Duration) {
-        let end = Instant::now() + patience;
-        while let Some(child) = &mut self.child {
-            if matches!(child.try_wait(), Ok(Some(_))) {
-                self.child = None;
-            } else if Instant::now() > end {
-                self.kill();
-            } else {
-                thread::sleep(Duration::from_millis(20));
-            }
-        }
-    }
-
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -150,11 +125,6 @@
         SocketAddr::new(self.ip.into(), FRONT_PORT)
     }
 
-    /// Address of the directory.
-    pub fn directory(&self) -> SocketAddr {
-        SocketAddr::new(self.ip.into(), DIRECTORY_PORT)
-    }
-
     /// Whether the process counts as ready.
     pub fn is_ready(&self) -> bool {
         let address = SocketAddr::new(self.ip.into(), READY_PORT);
--- a/review/stand/src/server.rs
+++ b/review/stand/src/server.rs
@@ -44,11 +44,6 @@
         let found = runs.iter().filter(|run| run.request == request);
         found.cloned().collect()
     }
-
-    /// All runs.
-    pub fn all(&self) -> Vec<Run> {
-        self.lock().clone()
-    }
 }
 
 /// What a server does with each request. Shared with the case, which may change it.
@@ -127,6 +122,11 @@
         self.record.line(&format!("server {} crashes", self.id));
     }
 
+    /// Whether the server has crashed.
+    pub fn is_down(&self) -> bool {
+        self.down.load(Ordering::SeqCst)
+    }
+
     /// What the server does with each request.
     pub fn manner(&self) -> MutexGuard<'_, Manner> {
         self.manner.lock().expect("lock is not poisoned")
--- a/review/stand/src/store.rs
+++ b/review/stand/src/store.rs
@@ -104,13 +104,6 @@
         (inner.answered, inner.lost)
     }
 
-    /// Keys of a table.
-    pub fn keys(&self, table: &str) -> Vec<String> {
-        let inner = self.lock();
-        let rows = inner.rows.keys().filter(|row| row.0 == table);
-        rows.map(|row| row.1.clone()).collect()
-    }
-
     fn commit(&self, writes: Vec<(RowId, Option<String>)>) -> u64 {
         let mut inner = self.lock();
         inner.version += 1;
--- a/review/stand/src/trial.rs
+++ b/review/stand/src/trial.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 use std::time::SystemTime;
 
@@ -30,6 +31,9 @@
 /// Port that marks a subnet as taken, also for the project's own soak.
 const MARK_PORT: u16 = 8150;
 
+/// Interval at which servers write their rows: `heartbeat_ms` of the settings.
+pub const HEARTBEAT: Duration = Duration::from_millis(1500);
+
 /// Result of a case.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -69,7 +73,7 @@
     pub folder: PathBuf,
     subnet: u8,
     serial: AtomicU64,
-    seq_no: AtomicU64,
+    seq_no: Arc<AtomicU64>,
     _mark: TcpListener,
 }
 
@@ -128,7 +132,7 @@
             folder,
             subnet,
             serial: AtomicU64::new(1),
-            seq_no: AtomicU64::new(1),
+            seq_no: Arc::new(AtomicU64::new(1)),
             _mark: mark,
         })
     }
@@ -148,7 +152,7 @@
         SocketAddr::new(Ipv4Addr::new(127, self.subnet, third, fourth).into(), 0)
     }
 
-    /// Starts a server and writes its row.
+    /// Starts a server, which writes its row now and at each heartbeat until it leaves or crashes.
     ///
     /// # Errors
     ///
@@ -157,7 +161,21 @@
         let address = self.address(240, self.servers.len() as u8 + 1);
         let server = Server::start(id, service, address, self.runs.clone(), self.record.clone())?;
         self.servers.push(server.clone());
-        self.write_row(&server, "ready", unix_ms());
+        let born = unix_ms();
+        self.write_row(&server, "ready", born);
+        let (beating, store, seq_no) = (server.clone(), self.store.clone(), self.seq_no.clone());
+        thread::spawn(move || {
+            loop {
+                thread::sleep(HEARTBEAT);
+                // Held while the row is written, so that none is written once the server leaves.
+                let manner = beating.manner();
+                if manner.leaving || beating.is_down() {
+                    return;
+                }
+                let seq_no = seq_no.fetch_add(1, Ordering::Relaxed);
+                store.put("servers", &beating.id, &beating.row("ready", seq_no, born));
+            }
+        });
         Ok(server)
     }
 
@@ -248,10 +266,6 @@
         self.record.line(&format!("verdict {verdict:?}: {what}"));
         println!("{verdict:?}: {what}");
         self.daemons.clear();
-        if std::env::var("KEEP").is_err() {
-            // What is left is removed with the temporary files.
-            let _ = fs::remove_dir_all(&self.folder);
-        }
         match verdict {
             Verdict::Held => ExitCode::SUCCESS,
             Verdict::Broken => ExitCode::from(1),
@@ -260,6 +274,14 @@
     }
 }
 
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        // What is left is removed with the temporary files.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// Text of a configuration.
 pub fn config(version: u64, routes: &[Route]) -> String {
     let routes: Vec<String> = routes
