--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -164,6 +164,7 @@
     let changes = state
         .listing
         .replace(servers.read_version, servers.rows, now);
+    log_lapses(&mut state, servers.read_version, "platform");
     match after {
         Some(after) => broadcast(context, &state, after, &changes),
         None => request_limits(context, &state),
@@ -187,6 +188,7 @@
     state.listing.record_success(now);
     let after = state.listing.content_version().unwrap_or(0);
     let changes = state.listing.apply(servers.read_version, servers.rows, now);
+    log_lapses(&mut state, servers.read_version, "platform");
     broadcast(context, &state, after, &changes);
     self::apply_changes(context, &mut state, &changes, "platform");
     confirm(context, &mut state, seen);
@@ -247,6 +249,21 @@
     }
 }
 
+/// Logs the removals that a read up to `read_version` deferred, since the servers may only have been
+/// unable to write their rows.
+pub fn log_lapses(state: &mut State, read_version: ListVersion, source: &'static str) {
+    for (server, version) in state.listing.take_lapsed() {
+        line!(
+            Event::RosterChanged,
+            server = server,
+            change = "lapsed",
+            version = version,
+            upto = read_version,
+            source = source
+        );
+    }
+}
+
 /// Logs changes of the server list and passes the list on to the services.
 pub fn apply_changes(
     context: &Context,
--- a/crates/wb-members/src/listing/mod.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -130,6 +130,8 @@
     entries: BTreeMap<ServerName, Entry>,
     digest: Digest,
     lapses: BTreeMap<ServerName, Lapse>,
+    /// Lapses that [`Listing::take_lapsed`] has not returned yet.
+    new_lapses: Vec<(ServerName, ListVersion)>,
     /// Newest row of each server, also of those that have left.
     last_rows: BTreeMap<ServerName, LastRow>,
     last_failure: Option<Moment>,
@@ -172,6 +174,11 @@
         self.lapses.len()
     }
 
+    /// Removals that were deferred since the last call of this method: servers and versions.
+    pub fn take_lapsed(&mut self) -> Vec<(ServerName, ListVersion)> {
+        std::mem::take(&mut self.new_lapses)
+    }
+
     /// All entries, lapsed ones included.
     pub fn entries(&self) -> &BTreeMap<ServerName, Entry> {
         &self.entries
@@ -302,6 +309,7 @@
                 if let Some(last) = self.last_rows.get_mut(&change.name) {
                     last.lapse(change.version);
                 }
+                self.new_lapses.push((change.name.clone(), change.version));
                 self.lapses.entry(change.name).or_insert(lapse);
                 continue;
             }
