fix: a removed row is taken for a lapse only until the server has been asked

Cause: an instance took its own failed calls for an outage of the store, and kept removed rows as lapsed for 2.3 s. Evidence: E304 lapsed half a second after the removal, while the store was sound. Change: a removed entry is in doubt until the server has responded without saying that it leaves; homes send a health check. Without a response it is set aside, unless its whole service is in doubt. A throttled call is no outage. Rows are read once more before entries are dropped. Why it works: the server knows whether it leaves, and says so in each response.

--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -71,6 +71,8 @@
     ServerEnded = 312,
     /// This instance reaches no backend server while others do, or reaches them again.
     ServersUnreachable = 313,
+    /// A backend server that may have left was asked whether it has.
+    ServerAsked = 314,
     /// A member's liveness changed.
     Member = 401,
     /// The homes or owners of a service changed.
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -84,6 +84,8 @@
     pub routes_wakeup: Notify,
     /// Wakes the task that follows the servers: the list may have to be read.
     pub servers_wakeup: Notify,
+    /// Wakes the task that asks servers in doubt.
+    pub doubts_wakeup: Notify,
     /// Wakes the task that registers this instance.
     pub rejoin: Notify,
     /// Wakes the task that admits queued requests.
@@ -121,14 +123,15 @@
             wb_members::steering::Options::default(),
             parts.settings.card.clone(),
         );
+        let times = Times::within(parts.settings.bounds.drain);
         let state = State {
             routes: None,
             read_version: 0,
             era: None,
             newer_peer: None,
             routes_confirmed: Moment::ZERO,
-            listing: Listing::default(),
-            freshness: Freshness::new(Times::within(parts.settings.bounds.drain)),
+            listing: Listing::new(times.proof),
+            freshness: Freshness::new(times),
             steering,
             services: HashMap::new(),
             quarantine: Quarantine::default(),
@@ -145,6 +148,7 @@
             outbox: parts.outbox,
             routes_wakeup: Notify::new(),
             servers_wakeup: Notify::new(),
+            doubts_wakeup: Notify::new(),
             rejoin: Notify::new(),
             queue_wakeup: Notify::new(),
             path_wakeup: Notify::new(),
--- a/crates/wb-gateway/src/follow/mod.rs
+++ b/crates/wb-gateway/src/follow/mod.rs
@@ -4,6 +4,7 @@
 //! changes all the time, so only some homes follow it and broadcast the changes; an instance that
 //! has received none for too long reads the list itself.
 
+pub mod doubts;
 pub mod holds;
 pub mod members;
 pub mod routes;
@@ -38,6 +39,7 @@
         let kind = match result {
             Ok(_) => "good",
             Err(Error::Unavailable(_)) => "down",
+            Err(Error::Throttled) => "throttled",
             Err(Error::Indeterminate(_)) => "unknown",
             Err(Error::Compacted) => "forgotten",
             Err(Error::Malformed(_)) => "malformed",
@@ -49,7 +51,10 @@
         context.metrics.platform_calls.get_or_create(&labels).inc();
         let failed = matches!(
             result,
-            Err(Error::Unavailable(_) | Error::Indeterminate(_) | Error::Malformed(_))
+            Err(Error::Unavailable(_)
+                | Error::Throttled
+                | Error::Indeterminate(_)
+                | Error::Malformed(_))
         );
         if failed && !self.down {
             let error = result.as_ref().err().map(ToString::to_string);
--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -207,7 +207,7 @@
     let behind = snapshot.read_version > state.listing.read_version();
     if let Some(version) = snapshot.read_version.filter(|_| behind) {
         let changes = state.listing.replace(version, snapshot.rows, now);
-        super::servers::log_lapses(&mut state, version, "peer");
+        super::servers::log_lapses(context, &mut state, version, "peer");
         super::servers::apply_changes(context, &mut state, &changes, "peer");
     }
     true
--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -68,8 +68,10 @@
                 };
                 tokio::time::sleep(pause).await;
             }
-            Err(_) => {
-                context.state().listing.record_failure(begin, context.now());
+            Err(err) => {
+                if err.is_outage() {
+                    context.state().listing.record_failure(begin, context.now());
+                }
                 watching &= reading != Reading::Whole;
                 backoff.wait().await;
             }
@@ -152,6 +154,15 @@
     Ok(())
 }
 
+/// Reads the changes once more before lapsed entries are dropped, since servers may have registered
+/// again after the last read.
+pub async fn recheck(context: Arc<Context>) {
+    let mut monitor = CallMonitor::new("servers");
+    let wait = Duration::ZERO;
+    let result = read(&context, Reading::Changes { wait }).await;
+    monitor.record(&context, &result);
+}
+
 async fn read_all(context: &Context) -> Result<(), Error> {
     let begin = context.now();
     let servers = context.catalog.servers().await?;
@@ -164,7 +175,7 @@
     let changes = state
         .listing
         .replace(servers.read_version, servers.rows, now);
-    log_lapses(&mut state, servers.read_version, "platform");
+    log_lapses(context, &mut state, servers.read_version, "platform");
     match after {
         Some(after) => broadcast(context, &state, after, &changes),
         None => request_limits(context, &state),
@@ -188,7 +199,7 @@
     state.listing.record_success(now);
     let after = state.listing.content_version().unwrap_or(0);
     let changes = state.listing.apply(servers.read_version, servers.rows, now);
-    log_lapses(&mut state, servers.read_version, "platform");
+    log_lapses(context, &mut state, servers.read_version, "platform");
     broadcast(context, &state, after, &changes);
     self::apply_changes(context, &mut state, &changes, "platform");
     confirm(context, &mut state, seen);
@@ -251,7 +262,12 @@
 
 /// Logs the removals that a read up to `read_version` deferred, since the servers may only have been
 /// unable to write their rows.
-pub fn log_lapses(state: &mut State, read_version: ListVersion, source: &'static str) {
+pub fn log_lapses(
+    context: &Context,
+    state: &mut State,
+    read_version: ListVersion,
+    source: &'static str,
+) {
     for (server, version) in state.listing.take_lapsed() {
         line!(
             Event::RosterChanged,
@@ -261,6 +277,7 @@
             upto = read_version,
             source = source
         );
+        context.doubts_wakeup.notify_one();
     }
 }
 
--- a/crates/wb-gateway/src/platform.rs
+++ b/crates/wb-gateway/src/platform.rs
@@ -20,6 +20,9 @@
     /// The call was not executed.
     #[error("platform is unavailable: {0}")]
     Unavailable(String),
+    /// The call was not executed, since too many were made.
+    #[error("platform accepts no more calls for now")]
+    Throttled,
     /// The call may have been executed.
     #[error("outcome of the platform call is unknown: {0}")]
     Indeterminate(String),
@@ -31,6 +34,13 @@
     Malformed(String),
 }
 
+impl Error {
+    /// Whether servers may have failed to reach the platform as well.
+    pub fn is_outage(&self) -> bool {
+        matches!(self, Self::Unavailable(_) | Self::Indeterminate(_))
+    }
+}
+
 /// A row, or a part of one, that can't be decoded.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RowError {
@@ -132,6 +142,8 @@
     pub not_executed: HeaderName,
     /// Requests a second that the server takes from all instances together.
     pub server_limit: HeaderName,
+    /// Name of the server that made a response to a health check.
+    pub instance: HeaderName,
     /// Marks a response of a server that is leaving.
     pub server_leaving: HeaderName,
 }
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -253,7 +253,7 @@
     let response = connection.send(request).await?;
     let headers = response.headers();
     limit::observe(context, routed, receiver.key, headers, sent);
-    leaving::observe(context, routed, &receiver, &response);
+    leaving::observe(context, routed, &receiver, &response, sent);
     pause::observe(context, routed, receiver.key, response.status(), headers);
     let idle_time = response.body().idle_time();
     Ok((idle_time, checked::check(context, routed, response).await))
--- a/crates/wb-gateway/src/proxy/leaving.rs
+++ b/crates/wb-gateway/src/proxy/leaving.rs
@@ -8,6 +8,7 @@
 use wb_event::line;
 use wb_http::pool::PooledResponse;
 use wb_members::listing::Lifetime;
+use wb_types::id::Moment;
 use wb_types::id::ServerName;
 
 use super::routed::RoutedRequest;
@@ -38,48 +39,70 @@
     }
 }
 
-/// Records that a server says in a response that it is leaving, and tells the other instances.
+/// Records whether a server says that it is leaving, in its response to a request that was sent at
+/// `sent`.
 pub fn observe(
     context: &Context,
     routed: &RoutedRequest,
     receiver: &Receiver,
     response: &PooledResponse,
+    sent: Moment,
 ) {
     let names = &context.headers;
     let headers = response.headers();
-    if !says_leaving(headers, &names.server_leaving) {
-        return;
-    }
     // Another server, or a response to another request, says nothing about this server now.
     let echoed = header_text(headers, &names.request_id);
     let is_other = echoed.is_some_and(|echoed| echoed != routed.id);
     if is_other || response.status() == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    let server = &receiver.server;
-    let Some(lifetime) = receiver.lifetime else {
+    if !says_leaving(headers, &names.server_leaving) {
+        if echoed.is_some() {
+            record_response(context, &receiver.server, sent);
+        }
         return;
-    };
+    }
+    if let Some(lifetime) = receiver.lifetime
+        && record(context, &receiver.server, lifetime)
+    {
+        line!(
+            Event::ServerLeaving,
+            server = receiver.server,
+            service = routed.service,
+            request = routed.id
+        );
+    }
+}
+
+/// Records that a server says that it is leaving, and tells the other instances. Returns whether
+/// that is news.
+pub fn record(context: &Context, server: &ServerName, lifetime: Lifetime) -> bool {
     let now = context.now();
     let mut state = context.state();
     if !state.listing.record_leaving(server, lifetime, now) {
-        return;
+        return false;
     }
-    line!(
-        Event::ServerLeaving,
-        server = server,
-        service = routed.service,
-        request = routed.id
-    );
     let packet = Packet::LeavingServers {
         from: context.settings.card.name.clone(),
         servers: vec![(server.clone(), lifetime)],
     };
     context.send_packet(packet, state.steering.peer_addresses());
     state.apply_listing(context, now);
+    true
+}
+
+/// Records that a server did not say that it is leaving, in its response to a request that was sent
+/// at `sent`.
+pub fn record_response(context: &Context, server: &ServerName, sent: Moment) {
+    let now = context.now();
+    let mut state = context.state();
+    if state.listing.record_response(server, sent) && state.listing.update_doubts(now) {
+        state.apply_listing(context, now);
+    }
 }
 
-fn says_leaving(headers: &HeaderMap, name: &HeaderName) -> bool {
+/// Whether the headers of a response say that its server is leaving.
+pub fn says_leaving(headers: &HeaderMap, name: &HeaderName) -> bool {
     let values = headers.get_all(name).iter();
     let mut texts = values.filter_map(|value| value.to_str().ok());
     texts.any(|text| text.trim() == IS_LEAVING)
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -133,6 +133,10 @@
     /// Gives each service its servers from the server list, and the instance's share of the fleet's
     /// requests.
     pub fn apply_listing(&mut self, context: &Context, now: Moment) {
+        self.listing.update_doubts(now);
+        if self.listing.doubted().next().is_some() {
+            context.doubts_wakeup.notify_one();
+        }
         let mut lists: HashMap<ServiceName, Vec<ListedServer>> = HashMap::new();
         for name in self.services.keys() {
             lists.insert(name.clone(), Vec::new());
--- a/crates/wb-gateway/src/start.rs
+++ b/crates/wb-gateway/src/start.rs
@@ -118,6 +118,7 @@
         tokio::spawn(follow::members::run(context.clone()));
         tokio::spawn(follow::routes::run(context.clone()));
         tokio::spawn(follow::servers::run(context.clone()));
+        tokio::spawn(follow::doubts::run(context.clone()));
         tokio::spawn(follow::holds::run(context.clone()));
         tokio::spawn(peers::heartbeat::run(context.clone()));
         tokio::spawn(peers::heartbeat::send_counts(context.clone()));
--- a/crates/wb-members/src/listing/freshness.rs
+++ b/crates/wb-members/src/listing/freshness.rs
@@ -21,6 +21,9 @@
 const AGE_SHARE: f64 = 0.65;
 /// Share of the bound in which an update that was announced may still arrive.
 const BEHIND_SHARE: f64 = 0.15;
+/// Share of the bound for which a server whose row was removed may be used without a response. With
+/// the age of the list it stays below the bound.
+const PROOF_SHARE: f64 = 0.2;
 /// Share of the bound for which a list may differ from others of its version, since instances drop
 /// lapsed entries at different times.
 const DIFFERS_SHARE: f64 = 0.4;
@@ -42,6 +45,8 @@
     pub poll: Duration,
     /// Age of the list from which an instance reads it.
     pub max_age: Duration,
+    /// Time for which a server whose row was removed may be used without a response.
+    pub proof: Duration,
     behind: Duration,
     differs: Duration,
 }
@@ -53,6 +58,7 @@
             pause: bound.mul_f64(PAUSE_SHARE),
             poll: bound.mul_f64(POLL_SHARE),
             max_age: bound.mul_f64(AGE_SHARE),
+            proof: bound.mul_f64(PROOF_SHARE),
             behind: bound.mul_f64(BEHIND_SHARE),
             differs: bound.mul_f64(DIFFERS_SHARE),
         }
--- a/crates/wb-members/src/listing/mod.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -1,13 +1,16 @@
 //! The platform's list of backend servers, as one instance holds it.
 //!
 //! The platform also removes entries of servers that could not reach it during its own outage. Such
-//! lapsed entries are kept until their servers have had time to register again.
+//! lapsed entries are kept until their servers have had time to register again. Whether a removed
+//! entry has lapsed or its server has left, only the server can tell: until it has responded without
+//! saying that it is leaving, the entry is in doubt.
 //!
 //! Instances send each other the changes of the list. Each such update names the version that it
 //! follows, so that a lost update is noticed. [`freshness`] decides when the list is read from the
 //! platform instead.
 
 mod digest;
+pub mod doubts;
 pub mod freshness;
 mod order;
 mod parts;
@@ -21,10 +24,13 @@
 use serde::Serialize;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
+use wb_types::id::ServiceName;
 use wb_types::roster::Lifecycle;
 use wb_types::roster::Server;
 
 use digest::Digest;
+use doubts::DoubtCause;
+use doubts::Doubts;
 use freshness::ListState;
 use order::LastRow;
 use parts::PartialUpdates;
@@ -33,6 +39,8 @@
 /// Time after the end of an outage in which servers register again: two seconds by the platform's
 /// documentation, plus some for the transfer.
 const REREGISTER_TIME: Duration = Duration::from_millis(2300);
+/// Time before a lapsed entry is dropped at which the rows are read once more.
+const RECHECK_TIME: Duration = Duration::from_millis(150);
 /// Time for which the last entry of a server that has left is remembered: longer than the platform
 /// goes back, and than it keeps the row of a server that is gone.
 const DEPARTED_KEEP: Duration = Duration::from_secs(60);
@@ -117,6 +125,8 @@
 struct Lapse {
     until: Moment,
     version: ListVersion,
+    /// Whether the rows were read once more, shortly before the entry is dropped.
+    rechecked: bool,
 }
 
 /// The list of backend servers.
@@ -137,9 +147,23 @@
     last_failure: Option<Moment>,
     partial: PartialUpdates,
     statements: Statements,
+    /// Time for which a server whose row was removed may be used without a response.
+    proof_time: Duration,
+    doubts: Doubts,
+    /// Servers in doubt that are not used for now.
+    set_aside: BTreeSet<ServerName>,
 }
 
 impl Listing {
+    /// An empty list. Servers whose rows were removed are used for `proof_time` more unless they
+    /// respond.
+    pub fn new(proof_time: Duration) -> Self {
+        Self {
+            proof_time,
+            ..Self::default()
+        }
+    }
+
     /// Version up to which the platform's rows were read; `None` before the first list.
     pub fn read_version(&self) -> Option<ListVersion> {
         self.read_version
@@ -189,7 +213,7 @@
         self.entries.values().map(|entry| {
             let server = &entry.server;
             let says = self.statements.is_leaving(&server.name, entry.started);
-            let lifecycle = if says {
+            let lifecycle = if says || self.set_aside.contains(&server.name) {
                 Lifecycle::Leaving
             } else {
                 server.lifecycle
@@ -198,6 +222,52 @@
         })
     }
 
+    /// Records that a server responded to a request that was sent at `sent`, and did not say that it
+    /// is leaving. Returns whether that was in doubt.
+    pub fn record_response(&mut self, server: &str, sent: Moment) -> bool {
+        self.doubts.resolve(server, sent)
+    }
+
+    /// Listed servers whose entries are in doubt.
+    pub fn doubted(&self) -> impl Iterator<Item = (&Entry, DoubtCause)> {
+        let doubts = self.doubts.all();
+        doubts.filter_map(|(server, cause)| Some((self.entries.get(server)?, cause)))
+    }
+
+    /// Decides which servers in doubt are not used for now. Returns whether that has changed. If all
+    /// servers of a service may have lapsed, that is more likely than that all have left.
+    pub fn update_doubts(&mut self, now: Moment) -> bool {
+        self.doubts.expire(now);
+        let doubted: BTreeSet<&ServerName> = self.doubts.all().map(|(server, _)| server).collect();
+        let live = self.entries.values().map(|entry| &entry.server);
+        let live = live.filter(|server| server.lifecycle == Lifecycle::Live);
+        let certain = live.filter(|server| !doubted.contains(&server.name));
+        let certain: BTreeSet<&ServiceName> = certain.map(|server| &server.service).collect();
+        let spared = |server: &ServerName| {
+            let entry = self.entries.get(server);
+            entry.is_some_and(|entry| certain.contains(&entry.server.service))
+        };
+        let set_aside = self.doubts.set_aside(now);
+        let set_aside = set_aside
+            .filter(|(server, cause)| *cause == DoubtCause::Restarted || spared(server))
+            .map(|(server, _)| server.clone());
+        let set_aside: BTreeSet<ServerName> = set_aside.collect();
+        let changed = set_aside != self.set_aside;
+        self.set_aside = set_aside;
+        changed
+    }
+
+    /// Whether the rows have to be read once more before lapsed entries are dropped.
+    pub fn recheck_due(&mut self, now: Moment) -> bool {
+        let due = |lapse: &Lapse| !lapse.rechecked && now + RECHECK_TIME >= lapse.until;
+        let mut any = false;
+        for lapse in self.lapses.values_mut().filter(|lapse| due(lapse)) {
+            lapse.rechecked = true;
+            any = true;
+        }
+        any
+    }
+
     /// Start of the process of a listed server.
     pub fn lifetime(&self, server: &str) -> Option<Lifetime> {
         self.entries.get(server).map(|entry| entry.started)
@@ -219,6 +289,7 @@
         self.last_failure = self.last_failure.max(Some(start));
         for lapse in self.lapses.values_mut() {
             lapse.until = now + LAPSE_MAX;
+            lapse.rechecked = false;
         }
     }
 
@@ -281,6 +352,7 @@
                 continue;
             }
             self.lapses.remove(&change.name);
+            self.doubts.clear_lapsed(&change.name);
             if self.upsert(&change, now) {
                 changed.push(change);
             }
@@ -305,7 +377,9 @@
                 let lapse = Lapse {
                     until: now + REREGISTER_TIME,
                     version: change.version,
+                    rechecked: false,
                 };
+                self.doubts.raise_lapsed(&change.name, self.proof_time, now);
                 if let Some(last) = self.last_rows.get_mut(&change.name) {
                     last.lapse(change.version);
                 }
@@ -314,6 +388,7 @@
                 continue;
             }
             self.lapses.remove(&change.name);
+            self.doubts.clear_lapsed(&change.name);
             if self.upsert(&change, now) {
                 self.content_version = self.content_version.max(change.version);
                 changed.push(change);
@@ -333,6 +408,7 @@
             return false;
         };
         self.digest.toggle(&entry);
+        self.doubts.clear(name);
         if let Some(last) = self.last_rows.get_mut(name) {
             last.depart(version, now);
         }
--- a/crates/wb-members/tests/listing.rs
+++ b/crates/wb-members/tests/listing.rs
@@ -370,3 +370,74 @@
     assert!(listing.record_leaving(&"s1".into(), 2, at(200)));
     assert_eq!(lifecycle(&listing), Some(Lifecycle::Leaving));
 }
+
+/// Servers that are in use.
+fn in_use(listing: &Listing) -> Vec<&str> {
+    let live = listing.servers();
+    let live = live.filter(|(_, lifecycle)| *lifecycle == Lifecycle::Live);
+    live.map(|(entry, _)| &*entry.server.name).collect()
+}
+
+/// Time for which a server whose row was removed is used without a response.
+const PROOF_TIME: Duration = Duration::from_millis(400);
+
+/// A list of which `lost` servers lapse at 5500 ms.
+fn lapsed(names: &[&str], lost: &[&str]) -> Listing {
+    let mut listing = Listing::new(PROOF_TIME);
+    listing.replace(10, names.iter().map(|name| row(10, name)).collect(), at(0));
+    listing.record_failure(at(5000), at(5000));
+    listing.record_success(at(5500));
+    let rows = lost.iter().map(|name| removed(11, name));
+    listing.apply(11, rows.collect(), at(5500));
+    assert!(
+        !listing.update_doubts(at(5500)),
+        "they had no time to respond"
+    );
+    listing
+}
+
+/// An instance whose calls failed alone must not use a server that has left (review/2).
+#[test]
+fn silent_server_whose_row_was_removed_is_used() {
+    let mut listing = lapsed(&["s1", "s2"], &["s1"]);
+    assert_eq!(in_use(&listing), ["s1", "s2"]);
+    assert!(listing.update_doubts(at(5500) + PROOF_TIME));
+    assert_eq!(in_use(&listing), ["s2"]);
+    listing.apply(12, vec![row(12, "s1")], at(7000));
+    listing.update_doubts(at(7000));
+    assert_eq!(in_use(&listing), ["s1", "s2"]);
+}
+
+#[test]
+fn server_that_responds_is_set_aside_after_an_outage() {
+    let mut listing = lapsed(&["s1", "s2"], &["s1"]);
+    assert!(
+        !listing.record_response("s1", at(5400)),
+        "sent before the removal was read"
+    );
+    assert!(listing.record_response("s1", at(5600)));
+    listing.update_doubts(at(5500) + 2 * PROOF_TIME);
+    assert_eq!(in_use(&listing), ["s1", "s2"]);
+    assert_eq!(listing.expire(at(5500) + REREGISTER_MAX).len(), 1);
+}
+
+/// A list of 3 or of 300 servers that lapse together.
+#[test]
+fn all_servers_of_a_service_are_set_aside_after_an_outage() {
+    for count in [3, 300] {
+        let names: Vec<String> = (0..count).map(|index| format!("s{index:03}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut listing = lapsed(&names, &names);
+        listing.update_doubts(at(5500) + PROOF_TIME);
+        assert_eq!(in_use(&listing).len(), count);
+    }
+}
+
+#[test]
+fn lapsed_servers_are_dropped_without_a_last_look() {
+    let mut listing = lapsed(&["s1", "s2"], &["s1"]);
+    assert!(!listing.recheck_due(at(6500)));
+    assert!(listing.recheck_due(at(7700)));
+    assert!(!listing.recheck_due(at(7700)), "one look is enough");
+    assert!(listing.expire(at(7700)).is_empty());
+}
--- a/crates/wb-route/src/table.rs
+++ b/crates/wb-route/src/table.rs
@@ -32,6 +32,9 @@
 pub struct ServiceConfig {
     /// Connections that each of its servers accepts from the whole fleet.
     pub max_connections: u32,
+    /// Path of a health check; `None` in tables that another instance has sent.
+    #[serde(skip)]
+    pub health_path: Option<String>,
 }
 
 /// All routes of one version, which take effect together.
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -39,6 +39,11 @@
 /// Header of responses to requests that were not executed.
 pub const NOT_EXECUTED: &str = "x-wisteriabarrow-not-executed";
 
+/// Header with the id of the server, in responses to health checks.
+pub const INSTANCE: &str = "x-wisteriabarrow-instance-id";
+/// Path of health checks.
+const HEALTH_PATH: &str = "/health";
+
 /// Header with the requests a second that the server takes from all instances together.
 pub const SERVER_LIMIT: &str = "server-limit";
 
@@ -262,6 +267,11 @@
         &self.id
     }
 
+    /// Returns the service that it serves.
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
     /// Sets the injected faults.
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         *self.behaviour.lock().expect("lock is not poisoned") = behaviour;
@@ -391,6 +401,9 @@
 
     /// Handles a request, and says in the response, whatever it is, what it says of itself.
     async fn respond(self: &Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+        if request.uri().path() == HEALTH_PATH {
+            return Ok(self.health());
+        }
         let behaviour = *self.behaviour.lock().expect("lock is not poisoned");
         let arrival = self.record_arrival(request.headers());
         let mut response = self.handle(request, behaviour).await?;
@@ -408,6 +421,23 @@
         Ok(response)
     }
 
+    /// Response to a health check.
+    fn health(&self) -> Response<Body> {
+        let leaving = self.leaving_since().is_some();
+        let mut response = body::empty_response(if leaving {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::OK
+        });
+        let headers = response.headers_mut();
+        let id = self.id.parse().expect("an id is a valid header value");
+        headers.insert(INSTANCE, id);
+        if leaving {
+            headers.insert(SERVER_LEAVING, HeaderValue::from_static("1"));
+        }
+        response
+    }
+
     async fn handle(
         self: &Arc<Self>,
         request: Request<Incoming>,
