fix: a late row does not put a leaving server in use again

Cause: a response names no process, and the statement was held against the process whose row was known. The row of the process that had made it came late and counted as a later start. Ruled out: a statement that was forgotten or not passed on. Change: if another process of a server is listed than the one that was listed when it said that it leaves, the server is set aside and asked; without any response it is used after two seconds. Why it works: its response is of the process that runs now.

--- a/crates/wb-members/src/listing/mod.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -273,9 +273,15 @@
         self.entries.get(server).map(|entry| entry.started)
     }
 
-    /// Records that a server said in a response that it is leaving. Returns whether that is news.
+    /// Records that a server said in a response that it is leaving, while a process of it was listed
+    /// that started at `lifetime`. Returns whether that is news.
     pub fn record_leaving(&mut self, server: &ServerName, lifetime: Lifetime, now: Moment) -> bool {
-        self.statements.record(server, lifetime, now)
+        let news = self.statements.record(server, lifetime, now);
+        match self.lifetime(server) {
+            Some(listed) if listed != lifetime => self.doubts.raise_restarted(server, now),
+            _ => self.doubts.clear(server),
+        }
+        news
     }
 
     /// Servers that have said in a response that they are leaving.
@@ -431,7 +437,12 @@
         if let Some(old) = &old {
             self.digest.toggle(old);
         }
-        old.is_none_or(|old| old.server != entry.server || old.started != entry.started)
+        let restarted = old.as_ref().is_none_or(|old| old.started != entry.started);
+        // The process that said so may have been this one, whose row has come late.
+        if restarted && self.statements.is_ambiguous(&change.name, entry.started) {
+            self.doubts.raise_restarted(&change.name, now);
+        }
+        restarted || old.is_some_and(|old| old.server != entry.server)
     }
 
     /// Drops lapsed entries whose servers did not register again in time, and what is remembered of
--- a/crates/wb-members/src/listing/statements.rs
+++ b/crates/wb-members/src/listing/statements.rs
@@ -1,6 +1,7 @@
 //! What servers say of themselves in their responses.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use wb_types::id::Moment;
@@ -8,57 +9,74 @@
 
 use super::Lifetime;
 
-/// Time for which a statement is kept after its server was last listed, in case its row lapsed.
+/// Time for which a statement is kept after its server was last listed as the process that made it,
+/// in case its row lapsed.
 const KEEP_TIME: Duration = Duration::from_secs(60);
+/// Most processes of one server of which statements are kept.
+const PROCESSES_MAX: usize = 4;
 
-/// A server's statement that it is leaving.
-#[derive(Clone, Copy, Debug)]
+/// A server's statements that it is leaving.
+#[derive(Clone, Debug)]
 struct Statement {
-    lifetime: Lifetime,
-    /// When it was made, or the server was last listed.
+    /// Processes that were listed when the server said so. A response does not name its process, so
+    /// that it may be one that was not listed yet.
+    lifetimes: BTreeSet<Lifetime>,
+    /// When the last one was made, or the server was last listed as such a process.
     seen: Moment,
 }
 
-/// Servers that have said in a response that they are leaving. Nothing but a later start takes that
-/// back: the platform's row may be older.
+/// Servers that have said in a response that they are leaving. A row does not take that back: it may
+/// be older.
 #[derive(Clone, Debug, Default)]
 pub struct Statements(BTreeMap<ServerName, Statement>);
 
 impl Statements {
     /// Records a statement. Returns whether it is news.
     pub fn record(&mut self, server: &ServerName, lifetime: Lifetime, now: Moment) -> bool {
-        let known = self.0.get(server);
-        if known.is_some_and(|known| known.lifetime >= lifetime) {
-            return false;
+        let known = self.0.entry(server.clone()).or_insert_with(|| Statement {
+            lifetimes: BTreeSet::new(),
+            seen: now,
+        });
+        known.seen = now;
+        let news = known.lifetimes.insert(lifetime);
+        if known.lifetimes.len() > PROCESSES_MAX {
+            let other = known.lifetimes.iter().find(|other| **other != lifetime);
+            if let Some(other) = other.copied() {
+                known.lifetimes.remove(&other);
+            }
         }
-        let seen = now;
-        self.0.insert(server.clone(), Statement { lifetime, seen });
-        true
+        news
     }
 
-    /// Whether the server has said that it is leaving since this start of its process, or a later one
-    /// of which the row is not known yet.
+    /// Whether the server has said that it is leaving while this process of it was listed.
     pub fn is_leaving(&self, server: &str, lifetime: Lifetime) -> bool {
         let known = self.0.get(server);
-        known.is_some_and(|known| known.lifetime >= lifetime)
+        known.is_some_and(|known| known.lifetimes.contains(&lifetime))
+    }
+
+    /// Whether the server has said that it is leaving, but not while this process of it was listed.
+    pub fn is_ambiguous(&self, server: &str, lifetime: Lifetime) -> bool {
+        let known = self.0.get(server);
+        known.is_some_and(|known| !known.lifetimes.contains(&lifetime))
     }
 
     /// All statements.
     pub fn all(&self) -> Vec<(ServerName, Lifetime)> {
-        let all = self.0.iter();
-        all.map(|(server, known)| (server.clone(), known.lifetime))
-            .collect()
+        let all = self.0.iter().flat_map(|(server, known)| {
+            let lifetimes = known.lifetimes.iter();
+            lifetimes.map(|lifetime| (server.clone(), *lifetime))
+        });
+        all.collect()
     }
 
-    /// Forgets statements of servers that have left long ago or started again.
+    /// Forgets statements of servers that left or started again long ago.
     pub fn expire(&mut self, listed: impl Fn(&str) -> Option<Lifetime>, now: Moment) {
-        self.0.retain(|server, known| match listed(server) {
-            Some(lifetime) if lifetime > known.lifetime => false,
-            Some(_) => {
+        self.0.retain(|server, known| {
+            let lifetime = listed(server);
+            if lifetime.is_some_and(|lifetime| known.lifetimes.contains(&lifetime)) {
                 known.seen = now;
-                true
             }
-            None => now.saturating_sub(known.seen) < KEEP_TIME,
+            now.saturating_sub(known.seen) < KEEP_TIME
         });
     }
 }
--- a/crates/wb-members/tests/listing.rs
+++ b/crates/wb-members/tests/listing.rs
@@ -441,3 +441,54 @@
     assert!(!listing.recheck_due(at(7700)), "one look is enough");
     assert!(listing.expire(at(7700)).is_empty());
 }
+
+/// The row of a process that started at `started`.
+fn started(version: u64, name: &str, started: u64) -> RowChange {
+    let mut row = row(version, name);
+    row.entry.as_mut().expect("it names a server").started = started;
+    row
+}
+
+/// A response does not name its process: it may be one whose row comes late (review/3).
+#[test]
+fn row_of_a_later_process_frees_a_leaving_server() {
+    let mut listing = listing(&["s1", "s2"]);
+    listing.record_leaving(&"s1".into(), 1, at(100));
+    listing.apply(11, vec![started(11, "s1", 2)], at(3000));
+    listing.update_doubts(at(3000));
+    assert_eq!(in_use(&listing), ["s2"]);
+    // The process that is listed now says so when it is asked.
+    listing.record_leaving(&"s1".into(), 2, at(3100));
+    listing.update_doubts(at(60_000));
+    assert_eq!(in_use(&listing), ["s2"]);
+}
+
+#[test]
+fn later_process_that_does_not_leave_is_set_aside_for_long() {
+    let mut listing = listing(&["s1", "s2"]);
+    listing.record_leaving(&"s1".into(), 1, at(100));
+    listing.apply(11, vec![started(11, "s1", 2)], at(3000));
+    listing.record_response("s1", at(3010));
+    listing.update_doubts(at(3050));
+    assert_eq!(in_use(&listing), ["s1", "s2"]);
+    // Without a response, it is used after a while.
+    listing.apply(12, vec![started(12, "s1", 3)], at(9000));
+    listing.update_doubts(at(9000));
+    assert_eq!(in_use(&listing), ["s2"]);
+    listing.update_doubts(at(11_500));
+    assert_eq!(in_use(&listing), ["s1", "s2"]);
+}
+
+/// A report of another instance on a process before comes after the row of the new one.
+#[test]
+fn late_report_frees_or_holds_a_server_without_a_question() {
+    let mut listing = listing(&["s1", "s2"]);
+    listing.apply(11, vec![started(11, "s1", 2)], at(1000));
+    listing.record_leaving(&"s1".into(), 1, at(1100));
+    listing.update_doubts(at(1100));
+    assert_eq!(in_use(&listing), ["s2"]);
+    assert_eq!(listing.doubted().count(), 1);
+    listing.record_response("s1", at(1110));
+    listing.update_doubts(at(1120));
+    assert_eq!(in_use(&listing), ["s1", "s2"]);
+}
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -352,6 +352,11 @@
         leaving.get_or_insert_with(Instant::now);
     }
 
+    /// Says no longer that it is leaving, as a process that has started since.
+    pub fn set_staying(&self) {
+        *self.leaving.lock().expect("lock is not poisoned") = None;
+    }
+
     /// Returns since when it says that it is leaving.
     pub fn leaving_since(&self) -> Option<Instant> {
         *self.leaving.lock().expect("lock is not poisoned")
