fix: a silent feed is no news that the routes have not changed

Cause: each instance waits for changes in a call of 25 s; one lost response hid all changes until it ended. Evidence: E505 14 s after the acknowledgement at all instances, with no failed call before. Ruled out: a response that was read and not applied; a version that another instance knew. Change: versions are counted over all tables. Where a response about the servers names a version that is none of its rows, an instance that broadcasts them asks for newer routes at once, until a call succeeds.

--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -16,6 +16,7 @@
 use wb_http::Pool;
 use wb_http::pool::Connector;
 use wb_members::listing::Listing;
+use wb_members::listing::coverage::Coverage;
 use wb_members::listing::freshness::Freshness;
 use wb_members::listing::freshness::Times;
 use wb_members::reach::Reach;
@@ -46,6 +47,8 @@
     pub era: Option<Era>,
     /// Peer address of an instance that has announced newer routes, and their version.
     pub newer_peer: Option<(SocketAddr, TableVersion)>,
+    /// Versions up to which no change of the routes is missing.
+    pub routes_coverage: Coverage,
     /// When the routes were last confirmed as the newest.
     pub routes_confirmed: Moment,
     /// Server list.
@@ -82,6 +85,8 @@
     pub outbox: tokio::sync::mpsc::Sender<(Packet, Vec<SocketAddr>)>,
     /// Wakes the task that follows the routes ahead of its schedule.
     pub routes_wakeup: Notify,
+    /// Held while the platform is asked for newer routes beside the long poll.
+    pub routes_check: tokio::sync::Mutex<()>,
     /// Wakes the task that follows the servers: the list may have to be read.
     pub servers_wakeup: Notify,
     /// Wakes the task that asks servers in doubt.
@@ -123,12 +128,14 @@
             wb_members::steering::Options::default(),
             parts.settings.card.clone(),
         );
-        let times = Times::within(parts.settings.bounds.drain);
+        let bounds = &parts.settings.bounds;
+        let times = Times::within(bounds.drain.min(bounds.apply));
         let state = State {
             routes: None,
             read_version: 0,
             era: None,
             newer_peer: None,
+            routes_coverage: Coverage::default(),
             routes_confirmed: Moment::ZERO,
             listing: Listing::new(times.proof),
             freshness: Freshness::new(times),
@@ -147,6 +154,7 @@
             metrics: Metrics::new(),
             outbox: parts.outbox,
             routes_wakeup: Notify::new(),
+            routes_check: tokio::sync::Mutex::default(),
             servers_wakeup: Notify::new(),
             doubts_wakeup: Notify::new(),
             rejoin: Notify::new(),
--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -129,6 +129,33 @@
     }
 }
 
+/// Asks for newer routes beside the long poll: another table has shown that there may be some, and the
+/// response of the poll may be lost. Newer ones mean that it is, so a new one is sent.
+pub async fn check(context: Arc<Context>) {
+    let Ok(_running) = context.routes_check.try_lock() else {
+        return;
+    };
+    let version = context.state().read_version;
+    if version == 0 {
+        return;
+    }
+    let result = context.catalog.watch_routes(version, Duration::ZERO).await;
+    CallMonitor::new("routes_check").record(&context, &result);
+    match result {
+        Ok(routes) => {
+            if accept(&context, routes, "check") {
+                context.routes_wakeup.notify_one();
+            }
+        }
+        Err(Error::Compacted) => {
+            context.state().read_version = 0;
+            context.routes_wakeup.notify_one();
+        }
+        // The next response on the other table leads to another check.
+        Err(_) => {}
+    }
+}
+
 /// Applies routes read from the platform if they are newer than those in use, or other ones of the
 /// same version: a platform that has lost routes may be given others under their version. Returns
 /// whether they are applied.
@@ -137,6 +164,7 @@
     let now = context.now();
     let mut state = context.state();
     state.read_version = state.read_version.max(routes.read_version);
+    state.routes_coverage.record_read(routes.read_version);
     state.routes_confirmed = now;
     let Some(table) = routes.table else {
         return false;
--- a/crates/wb-gateway/src/follow/servers.rs
+++ b/crates/wb-gateway/src/follow/servers.rs
@@ -134,7 +134,7 @@
     watchers.into_iter().any(|name| name == own)
 }
 
-async fn read(context: &Context, reading: Reading) -> Result<(), Error> {
+async fn read(context: &Arc<Context>, reading: Reading) -> Result<(), Error> {
     let version = context.state().listing.read_version();
     let (Reading::Changes { wait }, Some(version)) = (reading, version) else {
         return read_all(context).await;
@@ -142,6 +142,7 @@
     let begin = context.now();
     let changes = context.catalog.watch_servers(version, wait).await?;
     observe_era(context, "servers");
+    check_routes(context, version, &changes);
     // The platform answers without changes only when it has waited for them.
     let waited = if changes.rows.is_empty() {
         wait
@@ -163,6 +164,19 @@
     monitor.record(&context, &result);
 }
 
+/// Asks for newer routes if the platform has a version that is none of the servers'. Done by the
+/// instances that broadcast the changes of the servers: the others learn of newer routes by their
+/// heartbeats.
+fn check_routes(context: &Arc<Context>, after: ListVersion, servers: &Servers) {
+    let mut state = context.state();
+    let versions = servers.rows.iter().map(|row| row.version);
+    let coverage = &mut state.routes_coverage;
+    coverage.record_other(after, servers.read_version, versions);
+    if coverage.has_gap() && is_watcher(&state) {
+        tokio::spawn(super::routes::check(context.clone()));
+    }
+}
+
 async fn read_all(context: &Context) -> Result<(), Error> {
     let begin = context.now();
     let servers = context.catalog.servers().await?;
--- a/crates/wb-gateway/src/settings.rs
+++ b/crates/wb-gateway/src/settings.rs
@@ -35,6 +35,8 @@
     pub window: Duration,
     /// Time after a server said that it leaves from which it must get no more requests.
     pub drain: Duration,
+    /// Time after a change of the routes was accepted in which it must be in force.
+    pub apply: Duration,
     /// Longest time that callers cache a directory answer.
     pub keep: Duration,
 }
--- a/crates/wb-members/src/listing/mod.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -9,6 +9,7 @@
 //! follows, so that a lost update is noticed. [`freshness`] decides when the list is read from the
 //! platform instead.
 
+pub mod coverage;
 mod digest;
 pub mod doubts;
 pub mod freshness;
--- a/crates/wb-members/tests/freshness.rs
+++ b/crates/wb-members/tests/freshness.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use wb_members::listing::coverage::Coverage;
 use wb_members::listing::freshness::Announcement;
 use wb_members::listing::freshness::Call;
 use wb_members::listing::freshness::Freshness;
@@ -230,3 +231,38 @@
     freshness.confirm(at(4000));
     assert_eq!(freshness.read_cause(own(11, 2), at(4000)), None);
 }
+
+/// Coverage of a table that was read up to version 10.
+fn coverage() -> Coverage {
+    let mut coverage = Coverage::default();
+    coverage.record_read(10);
+    coverage
+}
+
+#[test]
+fn version_of_no_known_row_is_overlooked() {
+    let mut coverage = coverage();
+    coverage.record_other(10, 13, [11, 13].into_iter());
+    assert!(
+        coverage.has_gap(),
+        "version 12 may be a change of the table"
+    );
+    coverage.record_read(13);
+    assert!(!coverage.has_gap());
+}
+
+#[test]
+fn versions_of_known_rows_are_asked_for() {
+    let mut coverage = coverage();
+    coverage.record_other(10, 12, [11, 12].into_iter());
+    coverage.record_other(12, 12, std::iter::empty());
+    coverage.record_other(12, 13, [13].into_iter());
+    assert!(!coverage.has_gap());
+}
+
+#[test]
+fn read_that_begins_after_a_gap_closes_it() {
+    let mut coverage = coverage();
+    coverage.record_other(14, 15, [11, 12, 13, 14, 15].into_iter());
+    assert!(coverage.has_gap());
+}
--- a/crates/wb-stand/src/published/store.rs
+++ b/crates/wb-stand/src/published/store.rs
@@ -45,6 +45,8 @@
     Slow(Duration),
     /// With status 503 to reads of a whole table, and normally to other calls.
     NoTables,
+    /// Executes calls about this table and never responds to them; to others, as the protocol says.
+    LoseTable(&'static str),
     /// At once, with a response that takes this long to arrive.
     SlowResponse(Duration),
 }
@@ -291,7 +293,11 @@
             Mode::NoTables if path == TABLE_PATH => {
                 return reply::empty_response(StatusCode::SERVICE_UNAVAILABLE);
             }
-            Mode::Normal | Mode::NoTables | Mode::LoseResponse | Mode::SlowResponse(_) => {}
+            Mode::Normal
+            | Mode::NoTables
+            | Mode::LoseResponse
+            | Mode::LoseTable(_)
+            | Mode::SlowResponse(_) => {}
             Mode::Unavailable => return reply::empty_response(StatusCode::SERVICE_UNAVAILABLE),
             Mode::Hang => return std::future::pending().await,
             Mode::Slow(delay) => tokio::time::sleep(delay).await,
@@ -305,6 +311,14 @@
             },
             _ => reply::empty_response(StatusCode::NOT_FOUND),
         };
+        // A feed may have begun to wait in another mode.
+        let lost = match self.lock().mode {
+            Mode::LoseTable(table) => query.get("table").is_some_and(|of| of == table),
+            _ => false,
+        };
+        if lost {
+            return std::future::pending().await;
+        }
         match mode {
             Mode::LoseResponse => std::future::pending().await,
             Mode::SlowResponse(delay) => tokio::time::sleep(delay).await,
