fix: a request is not sent a second time on the same connection

Callers: an order that a server ran was answered 503, a promise that it did not run (REFUSED; reported once by the users, reproduced here, not shown to be their case). Cause: a refusal is believed if it carries the request's id, which is the same over all attempts. After a 421 the request may be sent again on the same connection, to another server id at the same address. If the process repeats its refusal, the copy is taken for the response to the second attempt. Change: connections remember the request that was sent last and are passed over for a further attempt of it. Why it works: on the connection of an attempt no earlier response to the same request can be due. Ruled out by reading: not sent, passing on, refusals at a stop, orders whose callers have left, early answers.

--- a/crates/wb-entry/src/proxy/backend.rs
+++ b/crates/wb-entry/src/proxy/backend.rs
@@ -17,6 +17,7 @@
 use wb_http::body;
 use wb_http::pool::PooledResponse;
 use wb_http::pool::SendOptions;
+use wb_http::pool::tag_of;
 use wb_types::id::ServerName;
 use wb_types::member::LeavingServer;
 use wb_types::outcome::Reason;
@@ -45,7 +46,10 @@
         return AttemptResult::NotRun(Reason::BadRequest);
     };
     let request = request(inflight, body);
-    let options = SendOptions::new(assignment.max_connections, inflight.info.idempotent);
+    let options = SendOptions {
+        tag: Some(tag_of(&inflight.info.id)),
+        ..SendOptions::new(assignment.max_connections, inflight.info.idempotent)
+    };
     let started = Instant::now();
     let pool = inflight.context.backend_pool.clone();
     inflight.maybe_sent.store(true, Ordering::Relaxed);
--- a/crates/wb-gateway/src/proxy/routed.rs
+++ b/crates/wb-gateway/src/proxy/routed.rs
@@ -9,6 +9,7 @@
 use http::HeaderValue;
 use http::StatusCode;
 use http::request::Parts;
+use wb_http::pool::RequestTag;
 use wb_http::serve::ReceivedAt;
 use wb_quarantine::Standing;
 use wb_route::Route;
@@ -106,6 +107,8 @@
     pub head: Parts,
     /// Where it came from.
     pub origin: Origin,
+    /// Tells it from others on the connections to servers.
+    pub tag: RequestTag,
     key: OnceLock<RequestKey>,
 }
 
@@ -137,7 +140,8 @@
         let Some(id) = header_text(&head.headers, &context.headers.request_id) else {
             return Err(Rejection::new(StatusCode::BAD_REQUEST, "no_request_id"));
         };
-        let Some(weighted) = route.service_for(context.next_serial()) else {
+        let serial = context.next_serial();
+        let Some(weighted) = route.service_for(serial) else {
             return Err(Rejection::new(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "no_service",
@@ -156,6 +160,7 @@
             route: route.clone(),
             head,
             origin,
+            tag: serial,
             key: OnceLock::new(),
         })
     }
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -197,6 +197,7 @@
         SendOptions {
             max_connections: self.assignment.server.max_connections,
             max_idle: service.idle_limits.limit(idempotent),
+            tag: Some(self.routed.tag),
         }
     }
 
--- a/crates/wb-http/src/pool/connect.rs
+++ b/crates/wb-http/src/pool/connect.rs
@@ -24,7 +24,8 @@
 const HEAD_MAX: usize = 64 * 1024;
 
 impl Pool {
-    /// Takes the most recently used connection that is still usable, and closes those that are not.
+    /// Takes the most recently used connection that is still usable and has not just been used for the
+    /// same request, and closes those that are not usable.
     pub(super) fn take_idle(
         &self,
         address: SocketAddr,
@@ -35,14 +36,19 @@
         let mut hosts = self.inner.hosts.lock().expect("lock is not poisoned");
         let host = hosts.get_mut(&address)?;
         let mut found = None;
+        let mut passed_over = Vec::new();
         while let Some(idle) = host.idle.pop() {
             let usable = idle.sender.is_ready() && idle.idle_since.elapsed() <= limit;
-            if usable {
+            if !usable {
+                stale.push(idle);
+            } else if options.tag.is_some() && idle.last == options.tag {
+                passed_over.push(idle);
+            } else {
                 found = Some(idle);
                 break;
             }
-            stale.push(idle);
         }
+        host.idle.extend(passed_over.into_iter().rev());
         drop(hosts);
         drop(stale);
         found
@@ -74,6 +80,7 @@
             guard,
             idle_since: Instant::now(),
             reused: false,
+            last: None,
             meter,
         })
     }
--- a/crates/wb-http/src/pool/mod.rs
+++ b/crates/wb-http/src/pool/mod.rs
@@ -10,6 +10,9 @@
 mod send;
 
 use std::collections::HashMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -86,6 +89,8 @@
     guard: OpenGuard,
     idle_since: Instant,
     reused: bool,
+    /// Request that was sent last.
+    last: Option<RequestTag>,
     meter: Meter,
 }
 
@@ -129,6 +134,9 @@
     inner: Arc<Inner>,
 }
 
+/// Tells a request from others, over all its attempts.
+pub type RequestTag = u64;
+
 /// Limits on the connection of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct SendOptions {
@@ -136,11 +144,21 @@
     pub max_connections: u32,
     /// Maximum idle time of a reused connection; one that was idle for long may be dead.
     pub max_idle: Duration,
+    /// The request, which is not sent a second time on the same connection: a faulty server may
+    /// repeat its response to the first attempt, and that can't be told from the next one.
+    pub tag: Option<RequestTag>,
 }
 
 /// Response whose body returns the connection to the pool once it is read completely.
 pub type PooledResponse = Response<ResponseBody>;
 
+/// Returns the tag of a request with this id.
+pub fn tag_of(id: &str) -> RequestTag {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl SendOptions {
     /// Options for a request that may or must not be sent again.
     pub fn new(max_connections: u32, repeatable: bool) -> Self {
@@ -151,6 +169,7 @@
             } else {
                 MAX_IDLE_ONCE
             },
+            tag: None,
         }
     }
 }
--- a/crates/wb-http/src/pool/send.rs
+++ b/crates/wb-http/src/pool/send.rs
@@ -31,10 +31,11 @@
         address: SocketAddr,
         options: SendOptions,
     ) -> io::Result<Connection> {
-        let inner = match self.take_idle(address, options) {
+        let mut inner = match self.take_idle(address, options) {
             Some(idle) => idle,
             None => self.connect(address, options).await?,
         };
+        inner.last = options.tag;
         let pool = self.clone();
         Ok(Connection { inner, pool })
     }
--- a/crates/wb-http/tests/pool.rs
+++ b/crates/wb-http/tests/pool.rs
@@ -1,6 +1,9 @@
 //! The connection pool against servers that send complete, cut-off and malformed responses.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use assert_matches::assert_matches;
@@ -14,6 +17,7 @@
 use wb_http::pool::SendOptions;
 
 const OPTIONS: SendOptions = SendOptions {
+    tag: None,
     max_connections: 2,
     max_idle: Duration::MAX,
 };
@@ -170,3 +174,45 @@
     tokio::task::yield_now().await;
     assert_eq!(pool.open_connections(address), 0);
 }
+
+/// Sends a request with a tag, and returns its response.
+async fn fetch_tagged(pool: &Pool, address: SocketAddr, tag: u64) {
+    let request = Request::new(body::empty());
+    let options = SendOptions {
+        tag: Some(tag),
+        ..OPTIONS
+    };
+    let response = pool.send(address, options, request).await;
+    let body = response.expect("the server responds").into_body();
+    let idle = Duration::from_secs(5);
+    body::read(body, 1000, idle).await.expect("a whole body");
+}
+
+/// A copy of the response to the first attempt of a request must not pass for that to the second.
+#[tokio::test]
+async fn request_is_sent_twice_on_one_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+    let address = listener.local_addr().expect("an address");
+    let opened = Arc::new(AtomicUsize::new(0));
+    let count = opened.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let mut head = [0; 1024];
+                while stream.read(&mut head).await.is_ok_and(|size| size > 0) {
+                    let response = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
+                    stream.write_all(response).await.expect("the pool reads");
+                }
+            });
+        }
+    });
+    let pool = Pool::new(Default::default());
+    fetch_tagged(&pool, address, 1).await;
+    fetch_tagged(&pool, address, 2).await;
+    assert_eq!(opened.load(Ordering::Relaxed), 1, "other requests share it");
+    fetch_tagged(&pool, address, 2).await;
+    assert_eq!(opened.load(Ordering::Relaxed), 2);
+    fetch_tagged(&pool, address, 3).await;
+    assert_eq!(opened.load(Ordering::Relaxed), 2, "both are kept");
+}
