fix: buffered bodies share a bounded part of the memory

Cause: the bytes of each body were bounded, their sum was not. Change: bodies are buffered in a fifth of the memory that the settings name; beyond it they are passed on as they arrive. Smaller read-ahead of servers' bodies, smaller limit of calls' responses.

--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -33,6 +33,7 @@
 use crate::platform::DirectoryApi;
 use crate::platform::Era;
 use crate::platform::Headers;
+use crate::proxy::buffers::Buffers;
 use crate::service::Service;
 use crate::settings::Settings;
 
@@ -77,6 +78,8 @@
     pub catalog: Arc<dyn Catalog>,
     /// Connections to backend servers.
     pub pool: Pool,
+    /// Memory for bodies that are buffered.
+    pub buffers: Arc<Buffers>,
     /// Connections to other instances.
     pub peer_pool: Pool,
     /// Metrics.
@@ -146,6 +149,7 @@
         };
         Self {
             pool: Pool::with_connector(crate::proxy::attempt::POOL_OPTIONS, parts.connector),
+            buffers: Buffers::new(parts.settings.buffers),
             peer_pool: Pool::new(wb_http::pool::Options::default()),
             settings: parts.settings,
             headers: parts.headers,
--- a/crates/wb-gateway/src/follow/doubts.rs
+++ b/crates/wb-gateway/src/follow/doubts.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use http::HeaderMap;
+use http::Request;
+use http::header::HOST;
 use wb_event::Event;
 use wb_event::line;
-use wb_http::client::BufferedResponse;
-use wb_http::client::CallError;
-use wb_http::client::Client;
+use wb_http::body;
+use wb_http::pool::SendOptions;
 use wb_members::listing::Lifetime;
 use wb_members::listing::doubts::DoubtCause;
 use wb_types::id::Moment;
@@ -28,6 +30,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Shortest time between two health checks of a server.
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
+/// Largest body of a response to a health check, in bytes.
+const BODY_MAX: usize = 4096;
 /// Most health checks at the same time.
 const ASKED_MAX: usize = 32;
 
@@ -117,16 +121,11 @@
 /// Asks a server, and records what its response says.
 async fn ask(context: Arc<Context>, question: Question) {
     let server = &question.server;
-    let client = Client {
-        pool: context.pool.clone(),
-        address: server.address,
-        timeout: ASK_TIMEOUT,
-        token: None,
-    };
     let sent = context.now();
-    let result = client.get(&question.path).await;
+    let asking = tokio::time::timeout(ASK_TIMEOUT, send(&context, &question));
+    let result = asking.await.unwrap_or_else(|_| Err("timed out".to_owned()));
     let says = match &result {
-        Ok(response) => says_leaving(&context, server, response),
+        Ok(headers) => says_leaving(&context, server, headers),
         Err(_) => None,
     };
     log(&question, says, result.err());
@@ -139,15 +138,29 @@
     }
 }
 
+/// Sends a health check. Returns the headers of the response.
+async fn send(context: &Context, question: &Question) -> Result<HeaderMap, String> {
+    let address = question.server.address;
+    let request = Request::get(&question.path).header(HOST, address.to_string());
+    let request = request.body(body::empty()).map_err(|err| err.to_string())?;
+    let options = SendOptions::new(question.server.slots, true);
+    let response = context.pool.send(address, options, request).await;
+    let (head, content) = response.map_err(|err| err.to_string())?.into_parts();
+    // The connection can be used again only after the body.
+    let content = body::read(content, BODY_MAX, ASK_TIMEOUT).await;
+    content.map_err(|err| err.to_string())?;
+    Ok(head.headers)
+}
+
 /// Whether a server says that it is leaving; `None` if the response is another server's.
-fn says_leaving(context: &Context, server: &Server, response: &BufferedResponse) -> Option<bool> {
+fn says_leaving(context: &Context, server: &Server, headers: &HeaderMap) -> Option<bool> {
     let names = &context.headers;
-    let name = header_text(&response.headers, &names.instance)?;
-    let is_leaving = leaving::says_leaving(&response.headers, &names.server_leaving);
+    let name = header_text(headers, &names.instance)?;
+    let is_leaving = leaving::says_leaving(headers, &names.server_leaving);
     (*name == *server.name).then_some(is_leaving)
 }
 
-fn log(question: &Question, says: Option<bool>, error: Option<CallError>) {
+fn log(question: &Question, says: Option<bool>, error: Option<String>) {
     let cause: &str = question.cause.into();
     line!(
         Event::ServerAsked,
@@ -155,6 +168,6 @@
         service = question.server.service,
         cause = cause,
         leaving = says,
-        error = error.map(|error| error.to_string())
+        error = error
     );
 }
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -20,6 +20,7 @@
 use wb_http::pool::Connection;
 use wb_types::id::Moment;
 
+use super::buffers::BufferedBody;
 use super::checked;
 use super::checked::CheckedResponse;
 use super::crash;
@@ -373,7 +374,7 @@
 ) -> Outcome {
     let took = context.now().saturating_sub(started);
     match checked {
-        CheckedResponse::Buffered(response) => {
+        CheckedResponse::Buffered(response, reservation) => {
             crash::record_answer(context, routed);
             let failed = response.status().is_server_error();
             let outcome = if failed {
@@ -384,17 +385,19 @@
             slot.release(outcome);
             let (mut parts, bytes) = response.into_parts();
             parts.headers = end_to_end(&parts.headers);
-            let response = Response::from_parts(parts, body::full(bytes));
+            let body = BufferedBody::new(bytes, reservation);
+            let response = Response::from_parts(parts, body::boxed(body));
             if failed {
                 Outcome::ServerError(response)
             } else {
                 Outcome::Response(response)
             }
         }
-        CheckedResponse::Streaming(response, prefix) => {
+        CheckedResponse::Streaming(response, prefix, reservation) => {
             let (mut parts, stream) = response.into_parts();
             parts.headers = end_to_end(&parts.headers);
             let remaining = routed.deadline.saturating_sub(context.now());
+            let prefix = BufferedBody::new(prefix, reservation);
             let streamed = StreamedBody::new(prefix, stream, slot, started, took, remaining);
             Outcome::Response(Response::from_parts(parts, body::boxed(streamed)))
         }
--- a/crates/wb-gateway/src/proxy/checked.rs
+++ b/crates/wb-gateway/src/proxy/checked.rs
@@ -7,6 +7,7 @@
 use wb_http::pool::PooledResponse;
 use wb_http::pool::ResponseBody;
 
+use super::buffers::Reservation;
 use super::claim::Claim;
 use super::routed::RoutedRequest;
 use crate::Context;
@@ -17,10 +18,11 @@
 
 /// Response of a server, checked.
 pub(super) enum CheckedResponse {
-    /// A complete response.
-    Buffered(Response<Bytes>),
-    /// A successful response that is too large to buffer, and its first bytes.
-    Streaming(PooledResponse, Bytes),
+    /// A complete response, and the memory that its body takes.
+    Buffered(Response<Bytes>, Reservation),
+    /// A successful response that is too large to buffer, its first bytes and the memory that these
+    /// take.
+    Streaming(PooledResponse, Bytes, Reservation),
     /// The server shed the request without executing it.
     Shed,
     /// Another server got the request, and did not execute it.
@@ -49,14 +51,20 @@
             return CheckedResponse::Invalid(error.to_owned());
         }
     }
-    match read_prefix(&mut stream).await {
-        Ok(Prefix::Whole(data)) => CheckedResponse::Buffered(Response::from_parts(parts, data)),
-        Ok(Prefix::Part(data)) if status.is_success() => {
-            CheckedResponse::Streaming(Response::from_parts(parts, stream), data)
+    let mut reservation = context.buffers.reserve();
+    match read_prefix(&mut stream, &mut reservation).await {
+        Ok(Prefix::Whole(data)) => {
+            CheckedResponse::Buffered(Response::from_parts(parts, data), reservation)
         }
-        Ok(Prefix::Part(_)) => {
-            CheckedResponse::Invalid(format!("{status} with more than {BUFFER_MAX} bytes"))
+        Ok(Prefix::Part(data)) if status.is_success() => {
+            let response = Response::from_parts(parts, stream);
+            CheckedResponse::Streaming(response, data, reservation)
         }
+        Ok(Prefix::Part(data)) => CheckedResponse::Invalid(format!(
+            "{status} with more than {} bytes, of which {BUFFER_MAX} may be buffered and {} are free",
+            data.len(),
+            context.buffers.free()
+        )),
         Err(err) => CheckedResponse::Broken(err.to_string()),
     }
 }
@@ -69,8 +77,12 @@
     Part(Bytes),
 }
 
-/// Reads a body up to the size that is buffered. A faulty server may send without end.
-async fn read_prefix(body: &mut ResponseBody) -> Result<Prefix, hyper::Error> {
+/// Reads a body up to the size that is buffered, as far as there is memory. A faulty server may send
+/// without end, and many may do so at once.
+async fn read_prefix(
+    body: &mut ResponseBody,
+    reservation: &mut Reservation,
+) -> Result<Prefix, hyper::Error> {
     let mut bytes = BytesMut::new();
     if http_body::Body::size_hint(body).lower() > BUFFER_MAX {
         return Ok(Prefix::Part(bytes.freeze()));
@@ -79,7 +91,7 @@
         if let Ok(data) = frame?.into_data() {
             bytes.extend_from_slice(&data);
         }
-        if bytes.len() as u64 > BUFFER_MAX {
+        if bytes.len() as u64 > BUFFER_MAX || !reservation.grow(bytes.capacity()) {
             return Ok(Prefix::Part(bytes.freeze()));
         }
     }
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 //!   request.
 
 pub mod attempt;
+pub mod buffers;
 mod checked;
 pub mod claim;
 pub mod crash;
@@ -71,7 +72,7 @@
             Err(rejection) => return response::reject(context, None, id.as_deref(), &rejection),
         };
         let mut record = RequestRecord::new(context.clone(), routed.clone());
-        let payload = match Payload::read(&routed, body).await {
+        let payload = match Payload::read(&routed, &context.buffers, body).await {
             Ok(payload) => payload,
             Err(rejection) => {
                 record.end("refused", rejection.reason);
--- a/crates/wb-gateway/src/proxy/payload.rs
+++ b/crates/wb-gateway/src/proxy/payload.rs
@@ -1,6 +1,7 @@
 //! Request bodies.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -14,6 +15,8 @@
 use wb_http::RequestBody;
 use wb_http::body;
 
+use super::buffers::Buffers;
+use super::buffers::Reservation;
 use super::routed::Rejection;
 use super::routed::RoutedRequest;
 
@@ -23,20 +26,21 @@
 
 /// Body of a request.
 pub enum Payload {
-    /// Buffered; can be sent any number of times.
-    Buffered(Bytes),
+    /// Buffered in reserved memory; can be sent any number of times.
+    Buffered(Bytes, Reservation),
     /// Streamed as it arrives; can be sent once.
     Streaming(Option<Body>),
 }
 
 impl Payload {
-    /// Buffers the body of a request if it is small.
+    /// Buffers the body of a request if it is small and there is memory.
     ///
     /// # Errors
     ///
     /// A [`Rejection`] if the body is larger than allowed or breaks off.
     pub async fn read(
         routed: &RoutedRequest,
+        buffers: &Arc<Buffers>,
         mut incoming: RequestBody,
     ) -> Result<Self, Rejection> {
         let hint = incoming.size_hint();
@@ -50,26 +54,27 @@
             return Ok(Self::Streaming(Some(body::boxed(incoming))));
         }
         let mut bytes = BytesMut::new();
+        let mut reservation = buffers.reserve();
         while let Some(frame) = incoming.frame().await {
             let broken = Rejection::new(StatusCode::BAD_REQUEST, "body_broken");
             let frame = frame.map_err(|_| broken)?;
             if let Ok(data) = frame.into_data() {
                 bytes.extend_from_slice(&data);
             }
-            if bytes.len() > BUFFER_MAX {
+            if bytes.len() > BUFFER_MAX || !reservation.grow(bytes.capacity()) {
                 return Ok(Self::Streaming(Some(body::boxed(ResumedBody {
                     prefix: Some(bytes.freeze()),
                     remaining: incoming,
                 }))));
             }
         }
-        Ok(Self::Buffered(bytes.freeze()))
+        Ok(Self::Buffered(bytes.freeze(), reservation))
     }
 
     /// Returns the body to send, if it is still available.
     pub fn take_body(&mut self) -> Option<Body> {
         match self {
-            Self::Buffered(bytes) => Some(body::full(bytes.clone())),
+            Self::Buffered(bytes, _) => Some(body::full(bytes.clone())),
             Self::Streaming(body) => body.take(),
         }
     }
@@ -77,7 +82,7 @@
     /// Returns the body if it is buffered.
     pub fn buffered(&self) -> Option<&Bytes> {
         match self {
-            Self::Buffered(bytes) => Some(bytes),
+            Self::Buffered(bytes, _) => Some(bytes),
             Self::Streaming(_) => None,
         }
     }
@@ -92,7 +97,7 @@
     /// Whether the body can be sent (again).
     pub fn is_available(&self) -> bool {
         match self {
-            Self::Buffered(_) => true,
+            Self::Buffered(..) => true,
             Self::Streaming(body) => body.is_some(),
         }
     }
--- a/crates/wb-gateway/src/proxy/streamed.rs
+++ b/crates/wb-gateway/src/proxy/streamed.rs
@@ -15,6 +15,7 @@
 use wb_http::pool::ResponseBody;
 use wb_types::id::Moment;
 
+use super::buffers::BufferedBody;
 use super::crash;
 use super::slot::Slot;
 
@@ -22,7 +23,7 @@
 /// at the request's deadline is cut off, since a faulty server may send without end.
 pub struct StreamedBody {
     /// Bytes that were read before the response was passed on.
-    prefix: Option<Bytes>,
+    prefix: BufferedBody,
     body: ResponseBody,
     slot: Option<Slot>,
     /// When the attempt began.
@@ -35,7 +36,7 @@
 impl StreamedBody {
     /// Creates the body of a response that is due within `remaining`.
     pub fn new(
-        prefix: Bytes,
+        prefix: BufferedBody,
         body: ResponseBody,
         slot: Slot,
         began: Moment,
@@ -44,7 +45,7 @@
     ) -> Self {
         Self {
             began,
-            prefix: Some(prefix).filter(|prefix| !prefix.is_empty()),
+            prefix,
             body,
             slot: Some(slot),
             took,
@@ -97,11 +98,11 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.prefix.is_none() && self.body.is_end_stream()
+        self.prefix.is_empty() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
-        let prefix = self.prefix.as_ref().map_or(0, Bytes::len) as u64;
+        let prefix = self.prefix.len() as u64;
         let rest = self.body.size_hint();
         let mut hint = http_body::SizeHint::new();
         hint.set_lower(rest.lower() + prefix);
--- a/crates/wb-gateway/src/settings.rs
+++ b/crates/wb-gateway/src/settings.rs
@@ -54,6 +54,8 @@
     pub bounds: Bounds,
     /// Connections accepted at a time, for each listener.
     pub connections: usize,
+    /// Memory for bodies that are buffered, in bytes.
+    pub buffers: usize,
     /// Local address of connections to backend servers; the system chooses it if it is `None`.
     pub source: Option<IpAddr>,
 }
--- a/crates/wb-http/src/client.rs
+++ b/crates/wb-http/src/client.rs
@@ -15,8 +15,8 @@
 use crate::body;
 use crate::pool::SendOptions;
 
-/// Size limit of a response body, in bytes.
-const RESPONSE_MAX: usize = 64 * 1024 * 1024;
+/// Size limit of a response body, in bytes: some times that of the largest snapshot of an instance.
+const RESPONSE_MAX: usize = 8 * 1024 * 1024;
 /// Limit of open connections to one server.
 const MAX_CONNECTIONS: u32 = 64;
 
--- a/crates/wb-http/src/pool/connect.rs
+++ b/crates/wb-http/src/pool/connect.rs
@@ -20,8 +20,8 @@
 
 /// Shortest interval of TCP keepalive probes; the kernel counts in whole seconds.
 const KEEPALIVE_INTERVAL_MIN: Duration = Duration::from_secs(1);
-/// Size limit of a response head, in bytes.
-const HEAD_MAX: usize = 64 * 1024;
+/// Size limit of a response head, in bytes, and of what is read from a connection ahead of its body.
+const HEAD_MAX: usize = 32 * 1024;
 
 impl Pool {
     /// Takes the most recently used connection that is still usable and has not just been used for the
