fix: the store's versions order the processes of a server, not their starts

Cause: a row with a lower start than the newest known one was dropped as older, for as long as its server ran. The start is the time of a clock that may be set back. Change: within an era of the store, versions tell the order; the starts only do between eras, where rows of an older copy have new versions.

--- a/crates/wb-members/src/listing/mod.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -57,9 +57,13 @@
 /// Number of an update, chosen at random by its sender.
 pub type UpdateId = u64;
 
-/// Version of the platform's rows. It never goes back, even if the platform does.
+/// Version of the platform's rows. It never goes back, even if the platform does: the bits from
+/// [`ERA_SHIFT`] on count how often the platform came back from an older copy of itself.
 pub type ListVersion = u64;
 
+/// Number of the bits of a version that tell the order of rows within an era of the platform.
+pub const ERA_SHIFT: u32 = 48;
+
 /// One entry of the list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/wb-members/src/listing/order.rs
+++ b/crates/wb-members/src/listing/order.rs
@@ -3,6 +3,7 @@
 use wb_types::id::Moment;
 use wb_types::roster::Lifecycle;
 
+use super::ERA_SHIFT;
 use super::Entry;
 use super::Lifetime;
 use super::ListVersion;
@@ -47,9 +48,14 @@
         self.departed = Some(now);
     }
 
-    /// Whether `row` is older than this one. Versions alone don't tell, since rows of an older copy of
-    /// the platform get new versions. A process that is leaving does not come back: only a later
-    /// start does.
+    fn is_other_era(&self, row: &RowChange) -> bool {
+        row.version >> ERA_SHIFT != self.version >> ERA_SHIFT
+    }
+
+    /// Whether `row` is older than this one. Versions tell the order of processes within an era of the
+    /// platform: the start of a process is the time of a clock that may be set. Rows of an older copy
+    /// of the platform are of a new era, so that only the starts tell there. A process that is leaving
+    /// does not come back: only another one does.
     pub fn outdates(&self, row: &RowChange) -> bool {
         if row.version < self.version {
             return true;
@@ -58,7 +64,7 @@
             return false;
         };
         if entry.started != self.started {
-            return entry.started < self.started;
+            return self.is_other_era(row) && entry.started < self.started;
         }
         let takes_back =
             self.lifecycle == Lifecycle::Leaving && entry.server.lifecycle == Lifecycle::Live;
--- a/crates/wb-members/tests/listing.rs
+++ b/crates/wb-members/tests/listing.rs
@@ -5,6 +5,7 @@
 
 use assert_matches::assert_matches;
 use wb_members::listing::Applied;
+use wb_members::listing::ERA_SHIFT;
 use wb_members::listing::Entry;
 use wb_members::listing::Listing;
 use wb_members::listing::RowChange;
@@ -492,3 +493,27 @@
     listing.update_doubts(at(1120));
     assert_eq!(in_use(&listing), ["s1", "s2"]);
 }
+
+/// The start of a process does not order it: its clock may have been set back (review/4).
+#[test]
+fn row_of_a_process_whose_clock_was_set_back_is_dropped() {
+    let mut listing = listing(&["s1", "s2"]);
+    listing.apply(11, vec![started(11, "s1", 2000)], at(100));
+    listing.apply(12, vec![started(12, "s1", 1200)], at(200));
+    assert_eq!(listing.lifetime("s1"), Some(1200));
+    let mut leaving = started(13, "s1", 1200);
+    let entry = leaving.entry.as_mut().expect("it has an entry");
+    entry.server.lifecycle = Lifecycle::Leaving;
+    listing.apply(13, vec![leaving], at(300));
+    assert_eq!(in_use(&listing), ["s2"]);
+}
+
+/// In another era versions don't tell: the row may be one of an older copy of the platform.
+#[test]
+fn row_of_an_earlier_process_in_an_older_copy_is_listed() {
+    let mut listing = listing(&["s1", "s2"]);
+    listing.apply(12, vec![started(12, "s1", 2000)], at(100));
+    let copy = (1 << ERA_SHIFT) | 11;
+    listing.apply(copy, vec![started(copy, "s1", 1200)], at(200));
+    assert_eq!(listing.lifetime("s1"), Some(2000));
+}
