fix: a statement that is heard again puts a restarted server in doubt at once

Change: the servers in use are computed anew when doubts have changed; a lapse ends its doubt wherever its row is seen again; nothing is computed while no server is in doubt.

--- a/crates/wb-gateway/src/peers/leaving.rs
+++ b/crates/wb-gateway/src/peers/leaving.rs
@@ -24,7 +24,7 @@
             news = true;
         }
     }
-    if news {
+    if news || state.listing.update_doubts(now) {
         state.apply_listing(context, now);
     }
 }
--- a/crates/wb-gateway/src/proxy/leaving.rs
+++ b/crates/wb-gateway/src/proxy/leaving.rs
@@ -79,7 +79,11 @@
 pub fn record(context: &Context, server: &ServerName, lifetime: Lifetime) -> bool {
     let now = context.now();
     let mut state = context.state();
-    if !state.listing.record_leaving(server, lifetime, now) {
+    let news = state.listing.record_leaving(server, lifetime, now);
+    if news || state.listing.update_doubts(now) {
+        state.apply_listing(context, now);
+    }
+    if !news {
         return false;
     }
     let packet = Packet::LeavingServers {
@@ -87,7 +91,6 @@
         servers: vec![(server.clone(), lifetime)],
     };
     context.send_packet(packet, state.steering.peer_addresses());
-    state.apply_listing(context, now);
     true
 }
 
--- a/crates/wb-members/src/listing/doubts.rs
+++ b/crates/wb-members/src/listing/doubts.rs
@@ -72,18 +72,18 @@
         self.0.remove(server);
     }
 
-    /// Forgets a server whose row is there again.
-    pub fn clear_lapsed(&mut self, server: &str) {
-        let lapsed = |doubt: &Doubt| doubt.cause == DoubtCause::Lapsed;
-        if self.0.get(server).is_some_and(lapsed) {
-            self.0.remove(server);
-        }
+    /// Forgets servers that are used all the same, and those whose rows are there again. `lapsed` is
+    /// whether the row of a server is still missing.
+    pub fn expire(&mut self, lapsed: impl Fn(&str) -> bool, now: Moment) {
+        self.0.retain(|server, doubt| match doubt.cause {
+            DoubtCause::Lapsed => lapsed(server),
+            DoubtCause::Restarted => doubt.until.is_none_or(|until| now < until),
+        });
     }
 
-    /// Forgets servers that are used all the same.
-    pub fn expire(&mut self, now: Moment) {
-        let lasts = |doubt: &Doubt| doubt.until.is_none_or(|until| now < until);
-        self.0.retain(|_, doubt| lasts(doubt));
+    /// Whether no server is in doubt.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
     }
 
     /// All servers in doubt.
--- a/crates/wb-members/src/listing/mod.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -242,7 +242,12 @@
     /// Decides which servers in doubt are not used for now. Returns whether that has changed. If all
     /// servers of a service may have lapsed, that is more likely than that all have left.
     pub fn update_doubts(&mut self, now: Moment) -> bool {
-        self.doubts.expire(now);
+        let lapses = &self.lapses;
+        self.doubts
+            .expire(|server| lapses.contains_key(server), now);
+        if self.doubts.is_empty() {
+            return !std::mem::take(&mut self.set_aside).is_empty();
+        }
         let doubted: BTreeSet<&ServerName> = self.doubts.all().map(|(server, _)| server).collect();
         let live = self.entries.values().map(|entry| &entry.server);
         let live = live.filter(|server| server.lifecycle == Lifecycle::Live);
@@ -363,7 +368,6 @@
                 continue;
             }
             self.lapses.remove(&change.name);
-            self.doubts.clear_lapsed(&change.name);
             if self.upsert(&change, now) {
                 changed.push(change);
             }
@@ -399,7 +403,6 @@
                 continue;
             }
             self.lapses.remove(&change.name);
-            self.doubts.clear_lapsed(&change.name);
             if self.upsert(&change, now) {
                 self.content_version = self.content_version.max(change.version);
                 changed.push(change);
--- a/crates/wb-members/tests/listing.rs
+++ b/crates/wb-members/tests/listing.rs
@@ -409,6 +409,17 @@
     assert_eq!(in_use(&listing), ["s1", "s2"]);
 }
 
+/// Another instance may be the first to see that a row is there again.
+#[test]
+fn server_whose_row_another_instance_has_seen_again_stays_set_aside() {
+    let mut listing = lapsed(&["s1", "s2"], &["s1"]);
+    listing.update_doubts(at(6000));
+    assert_eq!(in_use(&listing), ["s2"]);
+    listing.apply_update(update(10, 12, vec![row(12, "s1")]), at(6500));
+    listing.update_doubts(at(6500));
+    assert_eq!(in_use(&listing), ["s1", "s2"]);
+}
+
 #[test]
 fn server_that_responds_is_set_aside_after_an_outage() {
     let mut listing = lapsed(&["s1", "s2"], &["s1"]);
