test: the soak's checks know which instance sent a request

The rule excuses a restart of the sender. Change: links to the servers connect from the address of the instance, servers note where requests come from, and the checks of statements and pauses go by that. An instance whose response is passed on by another counts as told, too, so that the check is stricter there.

--- a/crates/wb-soak/src/check.rs
+++ b/crates/wb-soak/src/check.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::net::IpAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -102,7 +103,7 @@
     violations.extend(check_leaving(testbed, &senders, faults));
     violations.extend(check_limits(testbed, faults));
     violations.extend(check_statements(testbed, results, &senders, faults));
-    violations.extend(check_pauses(testbed, &senders, faults));
+    violations.extend(check_pauses(testbed, faults));
     violations.extend(check_answers(testbed, results, faults));
     violations.extend(check_recovery(results, faults_ended));
     violations.extend(check_crashing(testbed, crashing, faults));
@@ -151,11 +152,30 @@
 /// Index of the instance to which each request was sent.
 type Senders<'a> = HashMap<&'a str, usize>;
 
-fn senders<'a>(testbed: &Testbed, results: &'a [CallerResult]) -> Senders<'a> {
+/// Index of each instance, by its address.
+fn indexes(testbed: &Testbed) -> HashMap<IpAddr, usize> {
     let instances = testbed.instances.iter().enumerate();
-    let indexes: HashMap<_, usize> = instances
-        .map(|(index, instance)| (instance.ip, index))
-        .collect();
+    let indexes = instances.map(|(index, instance)| (instance.ip, index));
+    indexes.collect()
+}
+
+/// Instances that sent a request to a server: it may have been passed on to them.
+fn sent_by(
+    testbed: &Testbed,
+    indexes: &HashMap<IpAddr, usize>,
+    server: &str,
+    id: &str,
+) -> Vec<usize> {
+    let mut backends = testbed.backends.iter();
+    let backend = backends.find(|backend| backend.server.id() == server);
+    let arrivals = backend.map_or_else(Vec::new, |backend| backend.server.arrivals());
+    let sent = arrivals.iter().filter(|arrival| arrival.id == id);
+    sent.filter_map(|arrival| indexes.get(&arrival.from).copied())
+        .collect()
+}
+
+fn senders<'a>(testbed: &Testbed, results: &'a [CallerResult]) -> Senders<'a> {
+    let indexes = indexes(testbed);
     let sender = |result: &'a CallerResult| {
         let index = indexes.get(&result.instance.ip())?;
         Some((result.id.as_str(), *index))
@@ -205,11 +225,16 @@
     senders: &Senders<'_>,
     faults: &[Fault],
 ) -> Vec<String> {
+    let indexes = indexes(testbed);
     let mut told: HashMap<(usize, &str), Vec<Instant>> = HashMap::new();
     for result in results {
-        let sender = senders.get(result.id.as_str());
-        if let (Some(sender), Some((at, server))) = (sender, &result.leaving) {
-            told.entry((*sender, server)).or_default().push(*at);
+        let Some((at, server)) = &result.leaving else {
+            continue;
+        };
+        let passed = senders.get(result.id.as_str()).copied();
+        let sent = sent_by(testbed, &indexes, server, &result.id);
+        for instance in passed.into_iter().chain(sent) {
+            told.entry((instance, server)).or_default().push(*at);
         }
     }
     let mut violations = Vec::new();
@@ -217,7 +242,7 @@
         let server = backend.server.id();
         let restarts = backend.server.restarts();
         for arrival in backend.server.arrivals() {
-            let Some(sender) = senders.get(arrival.id.as_str()) else {
+            let Some(sender) = indexes.get(&arrival.from) else {
                 continue;
             };
             let stops =
@@ -243,19 +268,20 @@
 
 /// Checks that a server gets next to nothing from an instance that it has asked for a pause, unless
 /// the instance was stopped, restarted or cut off, or the server's link may have lost what it asked.
-fn check_pauses(testbed: &Testbed, senders: &Senders<'_>, faults: &[Fault]) -> Vec<String> {
+fn check_pauses(testbed: &Testbed, faults: &[Fault]) -> Vec<String> {
     let mut violations = Vec::new();
+    let indexes = indexes(testbed);
     for (index, backend) in testbed.backends.iter().enumerate() {
         let arrivals = backend.server.arrivals();
         for asked in &arrivals {
-            let sender = senders.get(asked.id.as_str());
+            let sender = indexes.get(&asked.from);
             let (Some((at, length)), Some(sender)) = (asked.pause, sender) else {
                 continue;
             };
             let in_pause = arrivals.iter().filter(|arrival| {
                 arrival.at > at + PAUSE_GRACE
                     && arrival.at < at + length
-                    && senders.get(arrival.id.as_str()) == Some(sender)
+                    && arrival.from == asked.from
             });
             let count = in_pause.count();
             let disturbs = |fault: &Fault| {
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
@@ -193,6 +194,8 @@
 pub struct Arrival {
     /// Id of the request; empty if it has none.
     pub id: String,
+    /// Address that it came from.
+    pub from: IpAddr,
     /// When it arrived.
     pub at: Instant,
     /// When the request was shed with a pause, and the length of the pause.
@@ -380,10 +383,11 @@
     }
 
     /// Records a request that arrived. Returns its index.
-    fn record_arrival(&self, headers: &HeaderMap) -> usize {
+    fn record_arrival(&self, headers: &HeaderMap, from: IpAddr) -> usize {
         let mut arrivals = self.arrivals.lock().expect("lock is not poisoned");
         arrivals.push(Arrival {
             id: header(headers, REQUEST_ID).unwrap_or_default(),
+            from,
             at: Instant::now(),
             pause: None,
         });
@@ -405,12 +409,16 @@
     }
 
     /// Handles a request, and says in the response, whatever it is, what it says of itself.
-    async fn respond(self: &Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    async fn respond(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        from: IpAddr,
+    ) -> io::Result<Response<Body>> {
         if request.uri().path() == HEALTH_PATH {
             return Ok(self.health());
         }
         let behaviour = *self.behaviour.lock().expect("lock is not poisoned");
-        let arrival = self.record_arrival(request.headers());
+        let arrival = self.record_arrival(request.headers(), from);
         let mut response = self.handle(request, behaviour).await?;
         self.ask_for_pause(&mut response, arrival);
         let limit = *self.limit.lock().expect("lock is not poisoned");
@@ -591,11 +599,11 @@
 }
 
 async fn accept(listener: &TcpListener, server: &Arc<Server>, connections: &mut JoinSet<()>) {
-    while let Ok((stream, _)) = listener.accept().await {
+    while let Ok((stream, peer)) = listener.accept().await {
         let server = server.clone();
         let service = service_fn(move |request| {
             let server = server.clone();
-            async move { server.respond(request).await }
+            async move { server.respond(request, peer.ip()).await }
         });
         let connection = http1::Builder::new()
             .half_close(false)
--- a/crates/wb-stand/src/relay/mod.rs
+++ b/crates/wb-stand/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! TCP relay that stands in for a network link and can be cut, also in one direction.
 
 use std::collections::HashSet;
+use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
@@ -141,9 +143,21 @@
     }
 }
 
+/// Opens a connection from the address that the other side was opened from, by which the target tells
+/// its peers apart.
+async fn connect(source: IpAddr, target: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if target.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(target).await
+}
+
 async fn relay(inbound: TcpStream, source: IpAddr, target: SocketAddr, state: State) {
     let link = state.link.clone();
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(target));
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(source, target));
     let Ok(Ok(outbound)) = connecting.await else {
         return;
     };
