--- a/crates/wb-members/src/listing/mod.rs
+++ b/crates/wb-members/src/listing/mod.rs
@@ -253,13 +253,13 @@
         let live = live.filter(|server| server.lifecycle == Lifecycle::Live);
         let certain = live.filter(|server| !doubted.contains(&server.name));
         let certain: BTreeSet<&ServiceName> = certain.map(|server| &server.service).collect();
-        let spared = |server: &ServerName| {
+        let is_replaceable = |server: &ServerName| {
             let entry = self.entries.get(server);
             entry.is_some_and(|entry| certain.contains(&entry.server.service))
         };
         let set_aside = self.doubts.set_aside(now);
         let set_aside = set_aside
-            .filter(|(server, cause)| *cause == DoubtCause::Restarted || spared(server))
+            .filter(|(server, cause)| *cause == DoubtCause::Restarted || is_replaceable(server))
             .map(|(server, _)| server.clone());
         let set_aside: BTreeSet<ServerName> = set_aside.collect();
         let changed = set_aside != self.set_aside;
--- a/crates/wb-soak/tests/soak.rs
+++ b/crates/wb-soak/tests/soak.rs
@@ -33,6 +33,10 @@
     seed_8507: 8507, 6, 5, 15, false;
     // Servers that had said in responses that they were leaving, or had asked for a pause, were used.
     seed_6001: 6001, 6, 5, 15, false;
+    // Instances that were cut off from all servers were refused by others for want of room.
+    seed_9107: 9107, 6, 5, 15, false;
+    // A request that was passed on counted for the instance that it had been sent to.
+    seed_9109: 9109, 6, 5, 15, false;
     // Requests that were taken late in the grace were cut, and answers of servers got lost.
     planned_201: 201, 6, 5, 15, true;
     // A route whose duration the ending instance had not seen counted as a fast one.
