team: the teams of a configuration, and the team of a request

Cause: the configuration names teams with keys, ranks and allowances, and no part of the gateway knows them. The routes, the request and the balancer's request get a place for it. Nothing fills it yet.

--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -21,6 +21,7 @@
 use wb_types::id::InstanceName;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
+use wb_types::id::TeamName;
 use wb_types::roster::Server;
 
 use crate::Evidence;
@@ -44,6 +45,15 @@
     pub struct WaitKey;
 }
 
+/// The team of a request, and what it is due.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TeamShare {
+    /// The team.
+    pub team: TeamName,
+    /// What it is due where there is too little room, relative to other teams.
+    pub weight: f64,
+}
+
 /// The properties of a request that decisions depend on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestInfo {
@@ -55,6 +65,8 @@
     pub attempts_left: u32,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Team of the caller; `None` if the configuration names no teams, or for public routes.
+    pub team: Option<TeamShare>,
     /// Time of arrival.
     pub arrived: Moment,
     /// Time from arrival within which the caller wants the response.
--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -32,6 +32,7 @@
 pub use balancer::Refusal;
 pub use balancer::RequestInfo;
 pub use balancer::ServerKey;
+pub use balancer::TeamShare;
 pub use balancer::WaitKey;
 pub use detector::Evidence;
 pub use detector::FailureDetector;
--- a/crates/wb-balance/tests/support/mod.rs
+++ b/crates/wb-balance/tests/support/mod.rs
@@ -64,6 +64,7 @@
         idempotent,
         attempts_left: 2,
         priority: 1,
+        team: None,
         arrived: now,
         target_latency: Duration::from_millis(1500),
         deadline: now + Duration::from_secs(10),
--- a/crates/wb-gateway/src/proxy/routed.rs
+++ b/crates/wb-gateway/src/proxy/routed.rs
@@ -9,10 +9,12 @@
 use http::HeaderValue;
 use http::StatusCode;
 use http::request::Parts;
+use wb_balance::TeamShare;
 use wb_http::pool::RequestTag;
 use wb_http::serve::ReceivedAt;
 use wb_quarantine::Standing;
 use wb_route::Route;
+use wb_team::Caller;
 use wb_types::id::Moment;
 use wb_types::id::RequestKey;
 use wb_types::id::ServiceName;
@@ -107,6 +109,8 @@
     pub head: Parts,
     /// Where it came from.
     pub origin: Origin,
+    /// Team of the caller; `None` if the configuration names no teams, or for public routes.
+    pub caller: Option<Caller>,
     /// Tells it from others on the connections to servers.
     pub tag: RequestTag,
     key: OnceLock<RequestKey>,
@@ -160,6 +164,7 @@
             route: route.clone(),
             head,
             origin,
+            caller: None,
             tag: serial,
             key: OnceLock::new(),
         })
@@ -174,6 +179,22 @@
         }
     }
 
+    /// Priority of the request: that of its team goes before that of its route.
+    pub fn priority(&self) -> u8 {
+        let caller = self.caller.as_ref();
+        let priority = caller.and_then(|caller| caller.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
+    /// The team of the request, and what it is due.
+    pub fn team_share(&self) -> Option<TeamShare> {
+        let caller = self.caller.as_ref()?;
+        Some(TeamShare {
+            team: caller.team.clone(),
+            weight: caller.weight,
+        })
+    }
+
     /// Sets the key, once the body has been read.
     pub fn set_key(&self, key: RequestKey) {
         self.key.get_or_init(|| key);
--- a/crates/wb-route/src/table.rs
+++ b/crates/wb-route/src/table.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use wb_team::TeamTable;
 use wb_types::id::ServiceName;
 use wb_types::id::TableVersion;
 
@@ -47,6 +48,9 @@
     pub services: BTreeMap<ServiceName, ServiceConfig>,
     /// Limits on callers' connections and requests.
     pub limits: Limits,
+    /// Teams; instances send them beside the routes, whose format has no place for them.
+    #[serde(skip)]
+    pub teams: TeamTable,
     /// Routes by host in lower case, longest prefix first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
 }
@@ -71,6 +75,7 @@
             version,
             services,
             limits,
+            teams: TeamTable::default(),
             hosts,
         }
     }
--- a/crates/wb-types/src/id.rs
+++ b/crates/wb-types/src/id.rs
@@ -11,6 +11,8 @@
 pub type ServiceName = Arc<str>;
 /// Name of a class of callers, e.g. `relief`.
 pub type ClassName = Arc<str>;
+/// Name of a team, unique in the configuration.
+pub type TeamName = Arc<str>;
 /// Name of a caller, from its row in the callers file.
 pub type CallerName = Arc<str>;
 /// Name of a backend server, unique in its service.
