share: fair queueing and parts of an amount in a crate of their own

Cause: start-time fair queueing stood in wb-dispatch alone; the balancer is to share slots, repeats and memory among teams by the same rule. Change: wb-share holds the fair clock (virtual time, a tag for each flow, forgetting of idle flows) and the parts of an amount that several use. wb-dispatch takes its tags from the clock.

--- a/crates/wb-dispatch/src/queue/flow.rs
+++ b/crates/wb-dispatch/src/queue/flow.rs
@@ -29,7 +29,6 @@
 /// The queued requests of one row and expected duration, by caller in the order of their turns.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Flow {
-    pub(super) tag: f64,
     callers: VecDeque<CallerQueue>,
     count: usize,
 }
--- a/crates/wb-dispatch/src/queue/queues.rs
+++ b/crates/wb-dispatch/src/queue/queues.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use wb_share::FairClock;
 use wb_types::id::CallerName;
 use wb_types::id::ClassName;
 use wb_types::id::Moment;
@@ -22,6 +23,9 @@
     }
 }
 
+/// A flow: a class and an expected duration.
+type FlowKey = (ClassName, ExpectedDuration);
+
 /// Queueing parameters of a row.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct ClassParams {
@@ -68,7 +72,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct FairQueues {
     classes: BTreeMap<ClassName, ClassQueues>,
-    virtual_time: f64,
+    clock: FairClock<FlowKey>,
 }
 
 impl FairQueues {
@@ -98,13 +102,12 @@
         caller: CallerName,
         entry: QueueEntry,
     ) -> bool {
-        let virtual_time = self.virtual_time;
-        let Some(class) = self.classes.get_mut(class) else {
+        let Some(queues) = self.classes.get_mut(class) else {
             return false;
         };
-        let flow = class.flow_mut(duration);
+        let flow = queues.flow_mut(duration);
         if flow.count() == 0 {
-            flow.tag = flow.tag.max(virtual_time);
+            self.clock.wake(&(class.clone(), duration));
         }
         flow.push(caller, entry);
         true
@@ -112,39 +115,43 @@
 
     /// Removes the next request of an expected duration, of the class with the lowest tag.
     pub fn pop(&mut self, duration: ExpectedDuration, now: Moment) -> Option<Dequeued> {
-        let backlogged = self
-            .classes
-            .iter_mut()
-            .filter(|(_, class)| class.flow(duration).count() > 0);
-        let (name, class) = backlogged.min_by(|(_, a), (_, b)| {
-            let (a, b) = (a.flow(duration).tag, b.flow(duration).tag);
-            a.total_cmp(&b)
-        })?;
-        let params = class.params;
-        let flow = class.flow_mut(duration);
+        let class = self.next_class(duration)?;
+        let queues = self.classes.get_mut(&class)?;
+        let params = queues.params;
+        let flow = queues.flow_mut(duration);
         let entry = flow.pop(params.max_wait / 2, now)?;
-        let tag = flow.tag;
-        flow.tag = tag + cost(duration) / params.weight;
-        let class = name.clone();
-        self.virtual_time = self.virtual_time.max(tag);
+        let key = (class.clone(), duration);
+        let tag = self.clock.charge(&key, cost(duration), params.weight);
+        self.clock.advance(1);
         Some(Dequeued { entry, class, tag })
     }
 
     /// Puts back the request that was dequeued last and can't be assigned.
     pub fn requeue(&mut self, duration: ExpectedDuration, caller: CallerName, next: Dequeued) {
-        let Some(class) = self.classes.get_mut(&next.class) else {
+        let Some(queues) = self.classes.get_mut(&next.class) else {
             return;
         };
-        let flow = class.flow_mut(duration);
-        flow.tag = next.tag;
+        let flow = queues.flow_mut(duration);
         flow.push_front(caller, next.entry);
+        self.clock.set_tag(&(next.class, duration), next.tag);
     }
 
     /// Lowest tag among the classes with queued requests of an expected duration.
     pub fn lowest_tag(&self, duration: ExpectedDuration) -> Option<f64> {
-        let classes = self.classes.values().map(|class| class.flow(duration));
-        let tags = classes.filter(|flow| flow.count() > 0).map(|flow| flow.tag);
-        tags.min_by(f64::total_cmp)
+        let class = self.next_class(duration)?;
+        Some(self.clock.tag(&(class, duration)))
+    }
+
+    /// The class with the lowest tag among those with queued requests of an expected duration.
+    fn next_class(&self, duration: ExpectedDuration) -> Option<ClassName> {
+        let classes = self.classes.iter();
+        let backlogged = classes.filter(|(_, class)| class.flow(duration).count() > 0);
+        let tagged = backlogged.map(|(name, _)| {
+            let tag = self.clock.tag(&(name.clone(), duration));
+            (name, tag)
+        });
+        let lowest = tagged.min_by(|(_, a), (_, b)| a.total_cmp(b));
+        lowest.map(|(name, _)| name.clone())
     }
 
     /// Removes and returns all requests that have waited too long or reached their deadline.
