balance: teams share slots and repeats by what they are due

Cause: the queue went by rank and arrival. A team that fills it delays all others, and those of them that would be served next are refused, since all that is queued counts as ahead of them. The same team takes most of the retry budget. Change: the order of the queue is: can still meet its latency target, rank, fair tag of the team, arrival; one clock for each rank; requests that get a slot at once are charged. Estimates count what really is ahead. A full queue refuses its last. Requests that others have gone before are refused once they have no time left. A repeat, a hedged send or a trial of a team that has used more than its part of the retry budget leaves the unused parts of those who have asked in the last second. Without teams the order and all estimates are those of before.

--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -103,6 +103,12 @@
         reported
     }
 
+    /// Own requests in flight at all servers.
+    pub(super) fn own_running(&self) -> usize {
+        let running: u32 = self.servers.values().map(|entry| entry.own_running).sum();
+        running as usize
+    }
+
     /// Number of queued requests.
     pub fn queued_count(&self) -> usize {
         self.queue.len()
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -9,7 +9,9 @@
 mod finish;
 mod limits;
 mod offer;
+mod order;
 mod pick;
+mod repeats;
 mod update;
 mod wait;
 
@@ -18,6 +20,7 @@
 
 use strum::Display;
 use strum::IntoStaticStr;
+use wb_share::Parts;
 use wb_types::id::InstanceName;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
@@ -34,6 +37,8 @@
 use crate::limit::ServerLimit;
 use crate::overload::Overload;
 use crate::pause::MissingServers;
+use crate::shares::Flow;
+use crate::shares::Shares;
 
 pub use offer::RETRY_AFTER_MIN;
 pub use update::ListedServer;
@@ -123,6 +128,22 @@
     pub cause: RefusalCause,
     /// Time after which the caller may try again.
     pub retry_after: Duration,
+    /// Queued requests that would have got a slot before it.
+    pub ahead: usize,
+    /// Whether the team of the request has used what it is due of the retry budget.
+    pub over_share: bool,
+}
+
+impl Refusal {
+    /// A refusal for a cause that has nothing to do with other requests.
+    pub fn new(cause: RefusalCause, retry_after: Duration) -> Self {
+        Self {
+            cause,
+            retry_after,
+            ahead: 0,
+            over_share: false,
+        }
+    }
 }
 
 /// The decision on a request.
@@ -217,6 +238,8 @@
 struct Waiter {
     request: RequestInfo,
     since: Moment,
+    /// Queued requests that went before it when it came.
+    ahead: usize,
 }
 
 /// A request that left the queue.
@@ -263,4 +286,11 @@
     /// Whether limits or pauses have reduced what this instance may send since the queue was last
     /// checked.
     limits_reduced: bool,
+    /// What each team has been served.
+    shares: Shares,
+    /// What each team has used of the retry budget.
+    repeat_parts: Parts<Flow>,
+    /// When a request first went before others in the queue since it was last checked whether they
+    /// still have time.
+    overtaken_since: Option<Moment>,
 }
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -13,11 +13,10 @@
 use super::finish::UNSERVED_ALPHA;
 use super::pick::RETURN_MAX;
 use super::pick::RETURN_SHARE;
+use super::repeats::RESERVED_SHARE;
 use crate::closing::Closing;
 use crate::hedge;
 
-/// Share of the retry budget that is reserved for requests of the highest priority.
-const RESERVED_SHARE: f64 = 0.3;
 /// Share of the retry budget that hedged sends must leave unless they are urgent, since the slow
 /// first send mostly succeeds anyway.
 const HEDGE_RESERVED_SHARE: f64 = 0.6;
@@ -32,6 +31,7 @@
     /// Decides on a new request from a caller.
     pub fn admit(&mut self, request: RequestInfo, now: Moment) -> Decision {
         self.retry_budget.record_request(now);
+        self.shares.record(&request);
         self.top_priority = self.top_priority.min(request.priority);
         let explorer = f64::from(u8::from(request.may_explore()));
         self.explorer_share += (explorer - self.explorer_share) * EXPLORER_ALPHA;
@@ -52,16 +52,8 @@
 
     /// Decides on a request that a server shed or that is retried. Uses the retry budget.
     pub fn retry(&mut self, request: RequestInfo, now: Moment) -> Decision {
-        self.decide_within_budget(self.reserved_share(&request), request, now)
-    }
-
-    /// Share of the retry budget that a request must leave to those of a higher priority.
-    pub(super) fn reserved_share(&self, request: &RequestInfo) -> f64 {
-        if request.priority > self.top_priority {
-            RESERVED_SHARE
-        } else {
-            0.0
-        }
+        let reserved = self.reserved_share(&request, now);
+        self.decide_within_budget(reserved, request, now)
     }
 
     /// Decides on a hedged send, a second one while the first takes long. It goes to a free slot that
@@ -80,10 +72,10 @@
         } else {
             HEDGE_RESERVED_SHARE
         };
-        if !self.retry_budget.try_spend(reserved, now) {
-            return Self::refuse(RefusalCause::RetryBudget, RETRY_AFTER_MIN);
+        if !self.try_repeat(&request, reserved, now) {
+            return self.refuse_repeat(&request, now);
         }
-        Decision::Send(self.assign(key, now))
+        Decision::Send(self.assign(key, &request, now))
     }
 
     /// Whether a request probably fails without a hedged send: the server that it was sent to is
@@ -107,15 +99,24 @@
         if self.ends_before(&request, now) {
             return Self::refuse(RefusalCause::Leaving, RETRY_AFTER_MIN);
         }
-        if !self.retry_budget.try_spend(reserved, now) {
-            return Self::refuse(RefusalCause::RetryBudget, RETRY_AFTER_MIN);
+        if !self.try_repeat(&request, reserved, now) {
+            return self.refuse_repeat(&request, now);
         }
         self.decide(request, now)
     }
 
+    fn refuse_repeat(&self, request: &RequestInfo, now: Moment) -> Decision {
+        let refusal = Self::refusal(RefusalCause::RetryBudget, RETRY_AFTER_MIN);
+        Decision::Refuse(Refusal {
+            over_share: self.is_over_share(request, now),
+            ..refusal
+        })
+    }
+
     /// Decides on a request of which no byte was sent to the server that it was assigned to. Does
     /// not use the retry budget.
     pub fn reassign(&mut self, request: RequestInfo, now: Moment) -> Decision {
+        self.shares.refund(&request);
         self.decide(request, now)
     }
 
@@ -133,7 +134,9 @@
         if !request.may_explore() {
             self.return_allowance = (self.return_allowance + RETURN_SHARE).min(RETURN_MAX);
         }
-        let ahead = self.queued_ahead(&request);
+        let in_flight = self.own_running();
+        self.shares.advance(in_flight);
+        let ahead = self.ahead_of(&request, now);
         let key = if ahead == 0 {
             self.pick(&request, self.may_use_suspect(&request, now, now), now)
         } else {
@@ -141,26 +144,39 @@
             self.due_trial(&request, now)
         };
         if let Some(key) = key {
-            return Decision::Send(self.assign(key, now));
+            return Decision::Send(self.assign(key, &request, now));
         }
         let Some(late) = self.lateness(&request, ahead, now) else {
             // Other instances hold the limits of all servers, and may serve the request at once.
-            return self.refuse_unserved(RETRY_AFTER_MIN, now);
+            return self.refuse_unserved(RETRY_AFTER_MIN, ahead, now);
         };
-        let fits = self.queue.len() < self.options.queue_max && late.is_zero();
+        let overtakes = self.shares.has_teams() && ahead < self.queue.len();
+        let fits = self.has_place(overtakes) && late.is_zero();
         let hopeless = self.hopeless_wait(&request, now);
         if !fits || hopeless.is_some() {
             if let Some(key) = self.returning(&request, now) {
-                return Decision::Send(self.assign(key, now));
+                return Decision::Send(self.assign(key, &request, now));
             }
-            return self.refuse_unserved(late.max(hopeless.unwrap_or_default()), now);
+            return self.refuse_unserved(late.max(hopeless.unwrap_or_default()), ahead, now);
+        }
+        if overtakes {
+            self.overtaken_since.get_or_insert(now);
         }
         Decision::Wait(self.queue.insert(Waiter {
             request,
             since: now,
+            ahead,
         }))
     }
 
+    /// Whether the queue takes a request. One that goes before others takes the place of the last of
+    /// them, which is taken out when the queue is checked next.
+    fn has_place(&self, overtakes: bool) -> bool {
+        let length = self.queue.len();
+        let max = self.options.queue_max;
+        length < max || (overtakes && length < max * 2)
+    }
+
     /// Estimated time by which a request that waits behind `ahead` others would miss its deadline.
     /// `None` if this instance may send no requests.
     pub(super) fn lateness(
@@ -181,17 +197,16 @@
         if !self.overload.lasts_until(request.deadline, now) {
             return None;
         }
-        let ahead = self.queue.values().filter(|waiter| {
-            waiter.request.priority <= request.priority && !self.is_late(&waiter.request, now)
-        });
-        let wait = self.estimate_wait(ahead.count() + 1, now)?;
+        let ahead = self.timely_ahead_of(request, now);
+        let wait = self.estimate_wait(ahead + 1, now)?;
         self.is_late(request, now + wait).then_some(wait)
     }
 
-    fn refuse_unserved(&mut self, retry_after: Duration, now: Moment) -> Decision {
+    fn refuse_unserved(&mut self, retry_after: Duration, ahead: usize, now: Moment) -> Decision {
         self.overload.record(now);
         self.unserved_rate += (1.0 - self.unserved_rate) * UNSERVED_ALPHA;
-        Self::refuse(RefusalCause::NoRoom, retry_after)
+        let refusal = Self::refusal(RefusalCause::NoRoom, retry_after);
+        Decision::Refuse(Refusal { ahead, ..refusal })
     }
 
     fn refuse(cause: RefusalCause, retry_after: Duration) -> Decision {
@@ -199,18 +214,7 @@
     }
 
     pub(super) fn refusal(cause: RefusalCause, retry_after: Duration) -> Refusal {
-        Refusal {
-            cause,
-            retry_after: retry_after.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
-        }
-    }
-
-    /// Queued requests of the same or a higher priority.
-    fn queued_ahead(&self, request: &RequestInfo) -> usize {
-        let queued = self.queue.values();
-        queued
-            .filter(|waiter| waiter.request.priority <= request.priority)
-            .count()
+        Refusal::new(cause, retry_after.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX))
     }
 
     /// Whether a request may go to a suspect server: it has waited for long, or no server is
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -133,7 +133,7 @@
         // A trial that can't be retried would cost its request.
         let retry = self
             .retry_budget
-            .has_room(self.reserved_share(request), now);
+            .has_room(self.reserved_share(request, now), now);
         if !request.may_explore() || !self.has_trial_time(request, now) || !retry {
             return None;
         }
@@ -255,8 +255,15 @@
             .clamp(0.0, 1.0)
     }
 
-    /// Takes a slot at a server.
-    pub(super) fn assign(&mut self, key: ServerKey, now: Moment) -> Box<Assignment> {
+    /// Takes a slot at a server for a request.
+    pub(super) fn assign(
+        &mut self,
+        key: ServerKey,
+        request: &RequestInfo,
+        now: Moment,
+    ) -> Box<Assignment> {
+        let in_flight = self.own_running() + 1;
+        self.shares.charge(request, in_flight);
         let entry = &mut self.servers[key];
         entry.own_running += 1;
         entry.limit.take(now);
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use wb_share::Parts;
 use wb_types::id::InstanceName;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
@@ -11,6 +12,7 @@
 
 use super::Balancer;
 use super::ServerEntry;
+use super::repeats::REPEAT_PATIENCE;
 use crate::FailureDetector;
 use crate::Options;
 use crate::RetryBudget;
@@ -18,6 +20,7 @@
 use crate::limit::ServerLimit;
 use crate::overload::Overload;
 use crate::pause::MissingServers;
+use crate::shares::Shares;
 
 /// Failure rate that is assumed before any send: nothing is known of any server.
 const INITIAL_FAILURE_RATE: f64 = 0.15;
@@ -41,6 +44,7 @@
 impl Balancer {
     /// A balancer without servers.
     pub fn new(options: Options, retry_budget: RetryBudget) -> Self {
+        let window = retry_budget.window();
         Self {
             options,
             servers: slotmap::SlotMap::with_key(),
@@ -61,6 +65,9 @@
             closing: None,
             missing_servers: MissingServers::default(),
             limits_reduced: false,
+            shares: Shares::default(),
+            repeat_parts: Parts::fading(window, REPEAT_PATIENCE),
+            overtaken_since: None,
         }
     }
 
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -5,6 +5,7 @@
 use wb_types::id::Moment;
 
 use super::Balancer;
+use super::Refusal;
 use super::RefusalCause;
 use super::Released;
 use super::RequestInfo;
@@ -13,6 +14,10 @@
 use super::WaitKey;
 use super::Waiter;
 
+/// Time from when a request went before others in the queue until it is checked whether they still
+/// have time: the check takes as many steps as there are servers for each of them.
+const OVERTAKEN_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What the choice of a server for a queued request depends on.
 #[derive(Eq, PartialEq)]
 struct Needs {
@@ -21,19 +26,17 @@
     allow_suspect: bool,
     /// Whether there is time for a trial.
     trial_time: bool,
-    /// Whether part of the retry budget is reserved for more urgent requests.
-    reserved: bool,
+    /// Share of the retry budget that is reserved for others, as bits.
+    reserved: u64,
     tried: Vec<ServerKey>,
 }
 
-/// Order of the queue: requests that can still meet their latency target first, then by priority,
-/// then by arrival.
-type QueueOrder = (bool, u8, Moment);
-
 impl Balancer {
     /// Takes requests out of the queue: those that get a slot now, and those that can no longer be
     /// served in time.
     pub fn release_queued(&mut self, now: Moment) -> Vec<Released> {
+        let in_flight = self.own_running();
+        self.shares.advance(in_flight);
         let mut released = self.refuse_closing(now);
         released.extend(self.refuse_unservable());
         released.extend(self.expire(now));
@@ -56,8 +59,10 @@
                 unserved.push(needs);
                 continue;
             };
-            self.queue.remove(key);
-            let result = Ok(self.assign(server, now));
+            let Some(waiter) = self.queue.remove(key) else {
+                continue;
+            };
+            let result = Ok(self.assign(server, &waiter.request, now));
             released.push(Released { key, result });
         }
         released.extend(self.refuse_hopeless(now));
@@ -71,7 +76,7 @@
             may_explore: request.may_explore(),
             allow_suspect: self.may_use_suspect(request, waiter.since, now),
             trial_time: self.has_trial_time(request, now),
-            reserved: self.reserved_share(request) > 0.0,
+            reserved: self.reserved_share(request, now).to_bits(),
             tried: request.tried.clone(),
         }
     }
@@ -109,48 +114,40 @@
         now + typical > request.arrived + request.target_latency
     }
 
-    fn queued_in_order(&self, now: Moment) -> Vec<WaitKey> {
-        let queue = self.queue.iter();
-        let mut keys: Vec<(QueueOrder, WaitKey)> = queue
-            .map(|(key, waiter)| (self.queue_order(waiter, now), key))
-            .collect();
-        keys.sort();
-        keys.into_iter().map(|(_, key)| key).collect()
-    }
-
-    fn queue_order(&self, waiter: &Waiter, now: Moment) -> QueueOrder {
-        let request = &waiter.request;
-        (
-            self.is_late(request, now),
-            request.priority,
-            request.arrived,
-        )
-    }
-
-    /// Takes out requests that would wait beyond their deadline, since limits or pauses of
-    /// servers have reduced what this instance may send.
+    /// Takes out requests that would wait beyond their deadline, since limits or pauses of servers
+    /// have reduced what this instance may send, or since others have gone before them; and those
+    /// for which the queue is too long.
     fn refuse_excess(&mut self, now: Moment) -> Vec<Released> {
-        if !std::mem::take(&mut self.limits_reduced) {
+        let reduced = std::mem::take(&mut self.limits_reduced);
+        if !reduced && !self.is_overtaken(now) {
             return Vec::new();
         }
+        self.overtaken_since = None;
         let mut kept = 0;
         let mut released = Vec::new();
         for key in self.queued_in_order(now) {
             let late = self.lateness(&self.queue[key].request, kept, now);
-            if late.is_some_and(|late| late.is_zero()) {
+            if kept < self.options.queue_max && late.is_some_and(|late| late.is_zero()) {
                 kept += 1;
                 continue;
             }
             self.queue.remove(key);
-            let result = Err(Self::refusal(
-                RefusalCause::NoRoom,
-                late.unwrap_or_default(),
-            ));
+            let refusal = Self::refusal(RefusalCause::NoRoom, late.unwrap_or_default());
+            let result = Err(Refusal {
+                ahead: kept,
+                ..refusal
+            });
             released.push(Released { key, result });
         }
         released
     }
 
+    /// Whether requests that are queued now may have to wait for longer than when they came.
+    fn is_overtaken(&self, now: Moment) -> bool {
+        let due = |since| now >= since + OVERTAKEN_INTERVAL;
+        self.queue.len() > self.options.queue_max || self.overtaken_since.is_some_and(due)
+    }
+
     /// Takes out requests that would not be answered before the end of this instance.
     fn refuse_closing(&mut self, now: Moment) -> Vec<Released> {
         if self.closing.is_none() {
@@ -194,6 +191,11 @@
         keys.into_iter().map(refuse).collect()
     }
 
+    /// Queued requests that went before a queued one when it came.
+    pub fn queued_behind(&self, key: WaitKey) -> Option<usize> {
+        self.queue.get(key).map(|waiter| waiter.ahead)
+    }
+
     /// Drops a queued request whose caller disconnected.
     pub fn cancel(&mut self, key: WaitKey) {
         self.queue.remove(key);
--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`idle`]: how long a connection may have been idle and still be reused.
 //! - [`limit`]: request rates to which servers limit the fleet.
 //! - [`options`]: limits and cost weights, with their units.
+//! - [`shares`]: what each team has been served, and is due.
 //! - [`overload`]: how long requests have come faster than they are served.
 //!
 //! All functions take the current time as an argument, so that tests run on virtual time.
@@ -23,6 +24,7 @@
 pub mod overload;
 pub mod pause;
 pub mod retry;
+pub mod shares;
 
 pub use balancer::Assignment;
 pub use balancer::AttemptOutcome;
--- a/crates/wb-balance/src/retry.rs
+++ b/crates/wb-balance/src/retry.rs
@@ -68,6 +68,18 @@
         !self.windows_holding(now).any(full)
     }
 
+    /// Further sends that are allowed in the tightest window that holds `now`.
+    pub fn total(&self, now: Moment) -> f64 {
+        let windows = self.windows_holding(now);
+        let allowances = windows.map(|start| self.allowance(start));
+        allowances.reduce(f64::min).unwrap_or(self.reserve)
+    }
+
+    /// Length of a window.
+    pub fn window(&self) -> Duration {
+        self.window
+    }
+
     /// Further sends that are left in the fullest window that holds `now`.
     pub fn remaining(&mut self, now: Moment) -> f64 {
         self.drop_old(now);
