gateway: memory for bodies is shared by teams; refusals tell the queue place

Cause: one team's bodies can take all memory for bodies; the bodies of others are then streamed, and can't be sent again. Nothing in the log tells why a team's request waited or was refused. Change: a reservation belongs to a team; one that holds more than its part leaves the unused parts of those who have asked in the last second. E203 and E207 have team, ahead and over_share; a counter of repeats that were refused for it. Reservations of requests without a team are as before. Changes to tests: request_key.rs passes no team to reserve (its signature).

--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -56,6 +56,9 @@
     pub verdicts: Family<ServiceLabels, Counter>,
     /// Attempts at servers with a known limit.
     pub limited_attempts: Family<ServiceLabels, Counter>,
+    /// Repeats and hedged sends that were refused, since the team of the request has used what it is
+    /// due.
+    pub share_refusals: Family<ServiceLabels, Counter>,
     /// Servers with a known limit.
     pub limited_servers: Gauge,
     /// Requests whose server ended while it had them.
@@ -110,6 +113,7 @@
             attempts: Family::default(),
             verdicts: Family::default(),
             limited_attempts: Family::default(),
+            share_refusals: Family::default(),
             limited_servers: Gauge::default(),
             servers_ended: Counter::default(),
             requests_held: Gauge::default(),
@@ -153,6 +157,11 @@
             "Sends to backend servers that have named a limit",
             self.limited_attempts.clone(),
         );
+        registry.register(
+            "share_refusals",
+            "Repeats refused since the team of the request has used what it is due",
+            self.share_refusals.clone(),
+        );
         registry.register(
             "limited_servers",
             "Backend servers that have named a limit",
--- a/crates/wb-gateway/src/proxy/buffers.rs
+++ b/crates/wb-gateway/src/proxy/buffers.rs
@@ -1,21 +1,37 @@
 //! Memory for bodies that are buffered, shared by all requests.
+//!
+//! A team that holds more than its part leaves the memory that others have asked for lately and do not
+//! hold to them. Their bodies are buffered then, and its own are streamed, as when no memory is free.
 
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body::Frame;
 use http_body::SizeHint;
+use wb_balance::TeamShare;
+use wb_share::Parts;
+use wb_types::id::TeamName;
+
+/// Time for which a team that has asked for memory is expected to ask again.
+const PATIENCE: Duration = Duration::from_secs(1);
 
 /// Memory for buffered bodies.
 #[derive(Debug)]
 pub struct Buffers {
+    size: usize,
     free: AtomicUsize,
+    started: Instant,
+    parts: Mutex<Parts<TeamName>>,
 }
 
 /// A part of the memory, free again when it is dropped.
@@ -23,6 +39,7 @@
 pub struct Reservation {
     buffers: Arc<Buffers>,
     size: usize,
+    share: Option<TeamShare>,
 }
 
 /// A buffered body, or the start of one, and the memory that it takes until it has been passed on.
@@ -80,8 +97,12 @@
 impl Buffers {
     /// Memory of this size, in bytes.
     pub fn new(size: usize) -> Arc<Self> {
-        let free = AtomicUsize::new(size);
-        Arc::new(Self { free })
+        Arc::new(Self {
+            size,
+            free: AtomicUsize::new(size),
+            started: Instant::now(),
+            parts: Mutex::new(Parts::returned(PATIENCE)),
+        })
     }
 
     /// Free memory, in bytes.
@@ -89,32 +110,61 @@
         self.free.load(Ordering::Relaxed)
     }
 
-    /// Starts a reservation of nothing.
-    pub fn reserve(self: &Arc<Self>) -> Reservation {
+    /// Starts a reservation of nothing, for a request of a team if the configuration names teams.
+    pub fn reserve(self: &Arc<Self>, share: Option<TeamShare>) -> Reservation {
         Reservation {
             buffers: self.clone(),
             size: 0,
+            share,
         }
     }
+
+    fn parts(&self) -> MutexGuard<'_, Parts<TeamName>> {
+        self.parts.lock().expect("lock is not poisoned")
+    }
+
+    /// Memory that a team has to leave to others if it takes `more`, in bytes.
+    fn left_to_others(&self, share: &TeamShare, more: usize) -> usize {
+        let now = self.started.elapsed();
+        let mut parts = self.parts();
+        parts.ask(&share.team, share.weight, now);
+        if parts.is_refresh_due(now) {
+            parts.refresh(self.size as f64, now);
+        }
+        let reserved = parts.reserved(&share.team, more as f64, now);
+        (reserved * self.size as f64) as usize
+    }
 }
 
 impl Reservation {
     /// Grows the reservation to `size` bytes. Returns whether it is that large now.
     pub fn grow(&mut self, size: usize) -> bool {
         let more = size.saturating_sub(self.size);
-        let free = &self.buffers.free;
-        let taken = free.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |free| {
-            free.checked_sub(more)
-        });
-        if taken.is_ok() {
-            self.size += more;
+        let buffers = &self.buffers;
+        let share = self.share.as_ref();
+        let left = share.map_or(0, |share| buffers.left_to_others(share, more));
+        let take = |free: usize| free.checked_sub(more).filter(|free| *free >= left);
+        let taken = buffers
+            .free
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        if taken.is_err() {
+            return false;
         }
-        taken.is_ok()
+        self.size += more;
+        if let Some(share) = share {
+            let now = buffers.started.elapsed();
+            buffers.parts().take(&share.team, more as f64, now);
+        }
+        true
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.buffers.free.fetch_add(self.size, Ordering::Relaxed);
+        let buffers = &self.buffers;
+        buffers.free.fetch_add(self.size, Ordering::Relaxed);
+        if let Some(share) = &self.share {
+            buffers.parts().give_back(&share.team, self.size as f64);
+        }
     }
 }
--- a/crates/wb-gateway/src/proxy/forward.rs
+++ b/crates/wb-gateway/src/proxy/forward.rs
@@ -152,10 +152,7 @@
     /// Sends the request to a server, unless it is held.
     async fn send(&mut self, kind: AttemptKind) -> Result<(), Refusal> {
         if let Standing::Held { remaining, .. } = self.routed.standing(self.context) {
-            return Err(Refusal {
-                cause: RefusalCause::Quarantined,
-                retry_after: remaining,
-            });
+            return Err(Refusal::new(RefusalCause::Quarantined, remaining));
         }
         if self.pass_on(self.is_cut())? {
             return Ok(());
@@ -207,10 +204,7 @@
             return Ok(false);
         }
         if self.routed.origin != Origin::Caller {
-            return Err(Refusal {
-                cause: RefusalCause::Unreachable,
-                retry_after: Duration::ZERO,
-            });
+            return Err(Refusal::new(RefusalCause::Unreachable, Duration::ZERO));
         }
         let Some(peer) = peer::choose(self.context, &self.passed_to) else {
             return Ok(false);
@@ -336,10 +330,7 @@
             return response;
         }
         if !self.maybe_run {
-            let refusal = Refusal {
-                cause: RefusalCause::NoServer,
-                retry_after: Duration::ZERO,
-            };
+            let refusal = Refusal::new(RefusalCause::NoServer, Duration::ZERO);
             record.refused(&refusal, self.last_reason, self.attempts);
             return response::refuse(self.context, self.routed, &refusal);
         }
--- a/crates/wb-gateway/src/proxy/payload.rs
+++ b/crates/wb-gateway/src/proxy/payload.rs
@@ -54,7 +54,7 @@
             return Ok(Self::Streaming(Some(body::boxed(incoming))));
         }
         let mut bytes = BytesMut::new();
-        let mut reservation = buffers.reserve();
+        let mut reservation = buffers.reserve(routed.team_share());
         while let Some(frame) = incoming.frame().await {
             let broken = Rejection::new(StatusCode::BAD_REQUEST, "body_broken");
             let frame = frame.map_err(|_| broken)?;
--- a/crates/wb-gateway/src/proxy/routed.rs
+++ b/crates/wb-gateway/src/proxy/routed.rs
@@ -18,6 +18,7 @@
 use wb_types::id::Moment;
 use wb_types::id::RequestKey;
 use wb_types::id::ServiceName;
+use wb_types::id::TeamName;
 
 use crate::Context;
 
@@ -186,6 +187,11 @@
         priority.unwrap_or(self.route.priority)
     }
 
+    /// The team of the request.
+    pub fn team(&self) -> Option<&TeamName> {
+        self.caller.as_ref().map(|caller| &caller.team)
+    }
+
     /// The team of the request, and what it is due.
     pub fn team_share(&self) -> Option<TeamShare> {
         let caller = self.caller.as_ref()?;
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -87,7 +87,7 @@
     kind: AttemptKind,
 ) -> Result<Slot, Refusal> {
     let now = context.now();
-    let (decision, wait) = {
+    let (decision, wait, ahead) = {
         let mut state = context.state();
         let service = state.service(&routed.service, context);
         let decision = match kind {
@@ -100,11 +100,18 @@
             Decision::Wait(key) => Some(service.enqueue(*key)),
             _ => None,
         };
-        (decision, wait)
+        let ahead = match &decision {
+            Decision::Wait(key) => service.balancer.queued_behind(*key),
+            _ => None,
+        };
+        (decision, wait, ahead)
     };
     let assignment = match (decision, wait) {
         (Decision::Send(assignment), _) => assignment,
-        (Decision::Refuse(refusal), _) => return Err(refusal),
+        (Decision::Refuse(refusal), _) => {
+            count_refused_share(context, routed, &refusal, kind);
+            return Err(refusal);
+        }
         (Decision::Wait(key), wait) => {
             let guard = QueueGuard {
                 context,
@@ -112,7 +119,13 @@
                 key,
             };
             context.queue_wakeup.notify_one();
-            line!(Event::Queued, request = routed.id, service = routed.service);
+            line!(
+                Event::Queued,
+                request = routed.id,
+                service = routed.service,
+                team = routed.team(),
+                ahead = ahead
+            );
             let wait = wait.expect("a queued request has a receiver");
             let admission = wait.await;
             drop(guard);
@@ -120,10 +133,7 @@
             context.metrics.queue_wait.observe(waited.as_secs_f64());
             // The sender is dropped only if the request is removed from the queue, which only this
             // task does.
-            admission.unwrap_or(Err(Refusal {
-                cause: RefusalCause::Deadline,
-                retry_after: Duration::ZERO,
-            }))?
+            admission.unwrap_or(Err(Refusal::new(RefusalCause::Deadline, Duration::ZERO)))?
         }
     };
     log_routed(context, routed, &assignment, kind, now);
@@ -147,6 +157,24 @@
     })
 }
 
+/// Counts a repeat that a team is refused because it has used what it is due.
+fn count_refused_share(
+    context: &Context,
+    routed: &RoutedRequest,
+    refusal: &Refusal,
+    kind: AttemptKind,
+) {
+    if !refusal.over_share {
+        return;
+    }
+    let labels = ServiceLabels {
+        service: routed.service.to_string(),
+        kind: kind.into(),
+    };
+    let refusals = &context.metrics.share_refusals;
+    refusals.get_or_create(&labels).inc();
+}
+
 /// Logs a slot for which the request has waited since `since`.
 fn log_routed(
     context: &Context,
--- a/crates/wb-gateway/tests/request_key.rs
+++ b/crates/wb-gateway/tests/request_key.rs
@@ -15,7 +15,9 @@
     }
     let (head, ()) = request.body(()).expect("the request is valid").into_parts();
     let payload = match content {
-        Some(content) => Payload::Buffered(content.to_owned().into(), Buffers::new(0).reserve()),
+        Some(content) => {
+            Payload::Buffered(content.to_owned().into(), Buffers::new(0).reserve(None))
+        }
         None => Payload::Streaming(Some(body::full(Vec::new()))),
     };
     request_key::of(&head, &payload)
