balance: what a queued request is compared by is found without a search

Change: a queued request holds the keys of its route and of its line. Whether any server is healthy is asked once in a check.

--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -15,10 +15,6 @@
 use crate::pause;
 use crate::pause::Capacity;
 
-/// Ratio of a route's latency target to the duration of its requests that is assumed until one was
-/// seen: the users' targets are three to five times the usual duration.
-const TARGET_RATIO: u32 = 4;
-
 impl ServerEntry {
     /// Requests in flight at the server: this instance's own and those that peers reported.
     pub(super) fn load(&self) -> u32 {
@@ -141,20 +137,10 @@
         &mut self.retry_budget
     }
 
-    /// Moving average of the duration of a route's requests; `None` until one was seen.
-    pub(super) fn known_duration(&self, route: &str) -> Option<Duration> {
-        let seconds = self.route_durations.get(route)?;
-        Some(Duration::from_secs_f64(*seconds))
-    }
-
-    /// The same, but until one was seen, a share of the route's latency target, or the average over
-    /// all routes if it has none.
+    /// Usual duration of a route's requests; until one was seen, a share of the route's latency target,
+    /// or the average over all routes if it has none.
     pub fn typical_duration(&self, route: &str, target: Duration) -> Duration {
-        match self.known_duration(route) {
-            Some(duration) => duration,
-            None if target.is_zero() => Duration::from_secs_f64(self.mean_duration),
-            None => target / TARGET_RATIO,
-        }
+        self.durations.typical(route, target)
     }
 
     /// Requests per second that this instance can send to the servers that are not suspect, or to
@@ -166,7 +152,7 @@
 
     /// The same for each server, from the end of its pause on.
     fn capacities(&self) -> Vec<Capacity> {
-        let by_slots = self.share / self.mean_duration;
+        let by_slots = self.share / self.durations.mean();
         let capacity = |entry: &ServerEntry| {
             let rate = f64::from(entry.server.slots) * by_slots;
             Capacity {
--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -12,8 +12,6 @@
 use super::ServerKey;
 use crate::Evidence;
 
-/// Weight of the newest sample in the moving average of a route's duration.
-const ROUTE_ALPHA: f64 = 0.05;
 /// Weight of the newest sample in the moving average of a server's duration ratio.
 const RATIO_ALPHA: f64 = 0.12;
 /// Cap on the ratio of one duration to the route's average, so that one straggler does not mark its
@@ -126,16 +124,10 @@
 
     fn record_duration(&mut self, key: ServerKey, route: &str, duration: Duration) {
         let seconds = duration.as_secs_f64();
-        self.mean_duration += (seconds - self.mean_duration) * ROUTE_ALPHA;
-        let average = match self.route_durations.get_mut(route) {
-            Some(average) => average,
-            None => {
-                self.route_durations.insert(route.into(), seconds);
-                return;
-            }
+        let Some(average) = self.durations.record(route, seconds) else {
+            return;
         };
-        let ratio = (seconds / *average).min(RATIO_MAX);
-        *average += (seconds - *average) * ROUTE_ALPHA;
+        let ratio = (seconds / average).min(RATIO_MAX);
         if let Some(entry) = self.servers.get_mut(key) {
             entry.duration_ratio += (ratio - entry.duration_ratio) * RATIO_ALPHA;
         }
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -32,9 +32,13 @@
 use crate::Options;
 use crate::RetryBudget;
 use crate::closing::Closing;
+use crate::durations::Durations;
+use crate::durations::RouteKey;
 use crate::limit::Division;
 use crate::limit::Rate;
 use crate::limit::ServerLimit;
+use crate::lines::LineKey;
+use crate::lines::Lines;
 use crate::overload::Overload;
 use crate::pause::MissingServers;
 use crate::shares::Flow;
@@ -240,6 +244,8 @@
     since: Moment,
     /// Queued requests that went before it when it came.
     ahead: usize,
+    route: RouteKey,
+    line: LineKey,
 }
 
 /// A request that left the queue.
@@ -258,10 +264,9 @@
     servers: slotmap::SlotMap<ServerKey, ServerEntry>,
     keys: HashMap<ServerName, ServerKey>,
     queue: slotmap::SlotMap<WaitKey, Waiter>,
-    /// Moving average of the duration by route, in seconds.
-    route_durations: HashMap<wb_types::id::ServiceName, f64>,
-    /// Moving average of the duration over all routes, in seconds.
-    mean_duration: f64,
+    /// The teams that have queued requests.
+    lines: Lines,
+    durations: Durations,
     /// Share of the fleet's requests for this service that this instance handles, 0 to 1.
     share: f64,
     /// Moving average of the share of sends that fail, without trials.
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -9,7 +9,6 @@
 use super::Refusal;
 use super::RefusalCause;
 use super::RequestInfo;
-use super::Waiter;
 use super::finish::UNSERVED_ALPHA;
 use super::pick::RETURN_MAX;
 use super::pick::RETURN_SHARE;
@@ -45,7 +44,7 @@
 
     /// Whether this instance ends before a request that is sent now would be answered.
     pub(super) fn ends_before(&self, request: &RequestInfo, now: Moment) -> bool {
-        let typical = self.known_duration(&request.route);
+        let typical = self.durations.known(&request.route);
         self.closing
             .is_some_and(|closing| !closing.admits(request, typical, now))
     }
@@ -162,11 +161,7 @@
         if overtakes {
             self.overtaken_since.get_or_insert(now);
         }
-        Decision::Wait(self.queue.insert(Waiter {
-            request,
-            since: now,
-            ahead,
-        }))
+        Decision::Wait(self.enqueue(request, ahead, now))
     }
 
     /// Whether the queue takes a request. One that goes before others takes the place of the last of
@@ -225,8 +220,17 @@
         since: Moment,
         now: Moment,
     ) -> bool {
+        self.has_waited(request, since, now) || !self.has_healthy()
+    }
+
+    /// Whether a request has waited for so long that it may go to a suspect server.
+    pub(super) fn has_waited(&self, request: &RequestInfo, since: Moment, now: Moment) -> bool {
         let suspect_wait = request.target_latency.mul_f64(self.options.suspect_wait);
-        let healthy = self.servers.values().any(super::ServerEntry::is_healthy);
-        now.saturating_sub(since) >= suspect_wait || !healthy
+        now.saturating_sub(since) >= suspect_wait
+    }
+
+    /// Whether any server is healthy.
+    pub(super) fn has_healthy(&self) -> bool {
+        self.servers.values().any(super::ServerEntry::is_healthy)
     }
 }
--- a/crates/wb-balance/src/balancer/order.rs
+++ b/crates/wb-balance/src/balancer/order.rs
@@ -5,15 +5,16 @@
 //! no teams are named, the third has no part in it.
 
 use std::cmp::Ordering;
-use std::collections::HashMap;
 
+use slotmap::SecondaryMap;
 use wb_types::id::Moment;
-use wb_types::id::TeamName;
 
 use super::Balancer;
 use super::RequestInfo;
 use super::WaitKey;
 use super::Waiter;
+use crate::lines::Line;
+use crate::lines::LineKey;
 
 /// Requests that go before others, whatever their teams: whether they miss their latency target, and
 /// their priority.
@@ -25,6 +26,7 @@
     lane: Lane,
     tag: f64,
     arrived: Moment,
+    line: LineKey,
     key: WaitKey,
 }
 
@@ -37,10 +39,10 @@
     }
 }
 
-/// The queued requests of one team and priority.
+/// The tags of the queued requests of one line.
 #[derive(Clone, Copy, Debug)]
-struct Line {
-    tag: f64,
+struct Tags {
+    first: f64,
     weight: f64,
     /// Those that can still meet their latency target, while the others are counted.
     timely: usize,
@@ -48,20 +50,20 @@
     queued: usize,
 }
 
-impl Line {
-    /// Tag of a request that has `ahead` of its team's before it.
-    fn tag_behind(&self, ahead: usize) -> f64 {
-        self.tag + ahead as f64 / self.weight
+impl Tags {
+    /// Tag of a request that has `ahead` of its line before it.
+    fn behind(&self, ahead: usize) -> f64 {
+        self.first + ahead as f64 / self.weight
     }
 
     /// Number of those of the lane whose tag is not above this one.
-    fn before(&self, tag: f64) -> usize {
-        let first = self.tag_behind(self.timely);
+    fn up_to(&self, tag: f64) -> usize {
+        let first = self.behind(self.timely);
         if tag < first {
             return 0;
         }
-        let before = ((tag - first) * self.weight).floor() + 1.0;
-        (before as usize).min(self.queued)
+        let count = ((tag - first) * self.weight).floor() + 1.0;
+        (count as usize).min(self.queued)
     }
 }
 
@@ -72,41 +74,49 @@
         let mut places: Vec<Place> = queue
             .map(|(key, waiter)| self.place(key, waiter, now))
             .collect();
+        places.sort_unstable_by(Place::order);
         if self.shares.has_teams() {
-            // The requests of one team are served in this order, whatever those of others are.
-            places.sort_unstable_by(Place::order);
             self.set_tags(&mut places);
+            places.sort_unstable_by(Place::order);
         }
-        places.sort_unstable_by(Place::order);
         places.into_iter().map(|place| place.key).collect()
     }
 
-    /// The place of a request if its team's tag is left out.
+    /// The place of a request if the tag of its team is left out.
     fn place(&self, key: WaitKey, waiter: &Waiter, now: Moment) -> Place {
-        let request = &waiter.request;
         Place {
-            lane: (self.is_late(request, now), request.priority),
+            lane: (self.misses_target(waiter, now), waiter.request.priority),
             tag: 0.0,
-            arrived: request.arrived,
+            arrived: waiter.request.arrived,
+            line: waiter.line,
             key,
         }
     }
 
+    /// Sets the tags of requests that are in the order in which those of each team are served.
     fn set_tags(&self, places: &mut [Place]) {
-        let mut lines: HashMap<(u8, Option<&TeamName>), Line> = HashMap::new();
+        let mut lines = self.line_tags(None);
         for place in places {
-            let request = &self.queue[place.key].request;
-            let key = (request.priority, team(request));
-            let line = lines.entry(key).or_insert_with(|| self.line(request));
-            place.tag = line.tag_behind(line.queued);
-            line.queued += 1;
+            let Some(tags) = lines.get_mut(place.line) else {
+                continue;
+            };
+            place.tag = tags.behind(tags.queued);
+            tags.queued += 1;
         }
     }
 
-    fn line(&self, request: &RequestInfo) -> Line {
-        Line {
-            tag: self.shares.tag(request),
-            weight: self.shares.weight(request),
+    /// The tags of all lines, or of those of one priority. No request is counted yet.
+    fn line_tags(&self, priority: Option<u8>) -> SecondaryMap<LineKey, Tags> {
+        let lines = self.lines.iter();
+        let wanted =
+            lines.filter(|(_, line)| priority.is_none_or(|priority| line.priority == priority));
+        wanted.map(|(key, line)| (key, self.tags(line))).collect()
+    }
+
+    fn tags(&self, line: &Line) -> Tags {
+        Tags {
+            first: self.shares.tag(line.priority, &line.flow, line.weight),
+            weight: line.weight,
             timely: 0,
             queued: 0,
         }
@@ -127,7 +137,7 @@
             return self.ahead_in_lane(request, false, now);
         }
         let ahead = self.queue.values().filter(|waiter| {
-            waiter.request.priority <= request.priority && !self.is_late(&waiter.request, now)
+            waiter.request.priority <= request.priority && !self.misses_target(waiter, now)
         });
         ahead.count()
     }
@@ -141,36 +151,37 @@
     }
 
     fn ahead_in_lane(&self, request: &RequestInfo, late: bool, now: Moment) -> usize {
+        if self.queue.is_empty() {
+            return 0;
+        }
         let lane = (late, request.priority);
-        let own = team(request);
+        let own = self.lines.find(request);
+        let mut lines = self.line_tags(Some(request.priority));
         let mut ahead = 0;
-        let mut own_line = self.line(request);
-        let mut lines: HashMap<Option<&TeamName>, Line> = HashMap::new();
         for waiter in self.queue.values() {
-            let other = &waiter.request;
-            let of = (self.is_late(other, now), other.priority);
+            let of = (self.misses_target(waiter, now), waiter.request.priority);
             ahead += usize::from(of < lane);
-            if other.priority != request.priority || of > lane {
+            let Some(tags) = lines.get_mut(waiter.line).filter(|_| of <= lane) else {
                 continue;
-            }
-            let line = if team(other) == own {
-                &mut own_line
-            } else {
-                let line = lines.entry(team(other));
-                line.or_insert_with(|| self.line(other))
             };
             if of < lane {
-                line.timely += 1;
-            } else if team(other) != own || other.arrived <= request.arrived {
-                line.queued += 1;
+                tags.timely += 1;
+            } else if Some(waiter.line) != own || waiter.request.arrived <= request.arrived {
+                tags.queued += 1;
             }
         }
-        let tag = own_line.tag_behind(own_line.timely + own_line.queued);
-        let others: usize = lines.values().map(|line| line.before(tag)).sum();
-        ahead + own_line.queued + others
+        let own_tags = own.and_then(|key| lines.get(key));
+        let tag = own_tags.map_or_else(
+            || self.shares.next_tag(request),
+            |tags| tags.behind(tags.timely + tags.queued),
+        );
+        let before = |(key, tags): (LineKey, &Tags)| {
+            if Some(key) == own {
+                tags.queued
+            } else {
+                tags.up_to(tag)
+            }
+        };
+        ahead + lines.iter().map(before).sum::<usize>()
     }
 }
-
-fn team(request: &RequestInfo) -> Option<&TeamName> {
-    request.team.as_ref().map(|share| &share.team)
-}
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -123,8 +123,13 @@
 
     /// Whether a request has time for a trial and a further attempt.
     pub(super) fn has_trial_time(&self, request: &RequestInfo, now: Moment) -> bool {
-        let room = self.typical_duration(&request.route, request.target_latency) * TRIAL_DURATIONS;
-        now + room <= request.deadline
+        let typical = self.typical_duration(&request.route, request.target_latency);
+        Self::is_trial_time(request, typical, now)
+    }
+
+    /// The same for a request that usually takes `typical`.
+    pub(super) fn is_trial_time(request: &RequestInfo, typical: Duration, now: Moment) -> bool {
+        now + typical * TRIAL_DURATIONS <= request.deadline
     }
 
     /// The suspect whose trial has been due for longest, if the request may run again and has time
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -16,8 +16,10 @@
 use crate::FailureDetector;
 use crate::Options;
 use crate::RetryBudget;
+use crate::durations::Durations;
 use crate::limit::Division;
 use crate::limit::ServerLimit;
+use crate::lines::Lines;
 use crate::overload::Overload;
 use crate::pause::MissingServers;
 use crate::shares::Shares;
@@ -50,8 +52,8 @@
             servers: slotmap::SlotMap::with_key(),
             keys: HashMap::new(),
             queue: slotmap::SlotMap::with_key(),
-            route_durations: HashMap::new(),
-            mean_duration: INITIAL_DURATION_SECS,
+            lines: Lines::default(),
+            durations: Durations::new(INITIAL_DURATION_SECS),
             share: 1.0,
             failure_rate: INITIAL_FAILURE_RATE,
             unserved_rate: 0.0,
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -47,11 +47,12 @@
         } else {
             Vec::new()
         };
+        let has_healthy = self.has_healthy();
         // Requests of equal needs find no server either: a long queue would take long to search.
         let mut unserved: Vec<Needs> = Vec::new();
         for key in queued {
             let waiter = &self.queue[key];
-            let needs = self.needs(waiter, now);
+            let needs = self.needs(waiter, has_healthy, now);
             if unserved.contains(&needs) {
                 continue;
             }
@@ -59,7 +60,7 @@
                 unserved.push(needs);
                 continue;
             };
-            let Some(waiter) = self.queue.remove(key) else {
+            let Some(waiter) = self.unqueue(key) else {
                 continue;
             };
             let result = Ok(self.assign(server, &waiter.request, now));
@@ -69,13 +70,14 @@
         released
     }
 
-    fn needs(&self, waiter: &Waiter, now: Moment) -> Needs {
+    fn needs(&self, waiter: &Waiter, has_healthy: bool, now: Moment) -> Needs {
         let request = &waiter.request;
+        let typical = self.typical_of(waiter);
         Needs {
             idempotent: request.idempotent,
             may_explore: request.may_explore(),
-            allow_suspect: self.may_use_suspect(request, waiter.since, now),
-            trial_time: self.has_trial_time(request, now),
+            allow_suspect: self.has_waited(request, waiter.since, now) || !has_healthy,
+            trial_time: Self::is_trial_time(request, typical, now),
             reserved: self.reserved_share(request, now).to_bits(),
             tried: request.tried.clone(),
         }
@@ -86,7 +88,7 @@
         let late: Vec<WaitKey> = self
             .queue
             .iter()
-            .filter(|(_, waiter)| self.is_late(&waiter.request, now))
+            .filter(|(_, waiter)| self.misses_target(waiter, now))
             .map(|(key, _)| key)
             .collect();
         if late.is_empty() {
@@ -98,7 +100,7 @@
         let hopeless: Vec<WaitKey> = late.into_iter().filter(hopeless).collect();
         let wait = self.estimate_wait(self.queue.len() - hopeless.len() + 1, now);
         let refuse = |key| {
-            self.queue.remove(key);
+            self.unqueue(key);
             let result = Err(Self::refusal(
                 RefusalCause::NoRoom,
                 wait.unwrap_or_default(),
@@ -108,6 +110,37 @@
         hopeless.into_iter().map(refuse).collect()
     }
 
+    /// Queues a request that `ahead` others go before.
+    pub(super) fn enqueue(&mut self, request: RequestInfo, ahead: usize, now: Moment) -> WaitKey {
+        let route = self.durations.key(&request.route);
+        let line = self.lines.enter(&request, &self.shares);
+        self.queue.insert(Waiter {
+            request,
+            since: now,
+            ahead,
+            route,
+            line,
+        })
+    }
+
+    fn unqueue(&mut self, key: WaitKey) -> Option<Waiter> {
+        let waiter = self.queue.remove(key)?;
+        self.lines.leave(waiter.line);
+        Some(waiter)
+    }
+
+    /// Usual duration of a queued request.
+    fn typical_of(&self, waiter: &Waiter) -> Duration {
+        let target = waiter.request.target_latency;
+        self.durations.typical_of(waiter.route, target)
+    }
+
+    /// Whether a queued request would miss its latency target if it were sent now.
+    pub(super) fn misses_target(&self, waiter: &Waiter, now: Moment) -> bool {
+        let request = &waiter.request;
+        now + self.typical_of(waiter) > request.arrived + request.target_latency
+    }
+
     /// Whether a request would miss its latency target if it were sent now.
     pub(super) fn is_late(&self, request: &RequestInfo, now: Moment) -> bool {
         let typical = self.typical_duration(&request.route, request.target_latency);
@@ -131,7 +164,7 @@
                 kept += 1;
                 continue;
             }
-            self.queue.remove(key);
+            self.unqueue(key);
             let refusal = Self::refusal(RefusalCause::NoRoom, late.unwrap_or_default());
             let result = Err(Refusal {
                 ahead: kept,
@@ -169,7 +202,7 @@
     fn expire(&mut self, now: Moment) -> Vec<Released> {
         self.refuse_if(RefusalCause::Deadline, |balancer, waiter| {
             let request = &waiter.request;
-            let half = balancer.typical_duration(&request.route, request.target_latency) / 2;
+            let half = balancer.typical_of(waiter) / 2;
             now + half > request.deadline
         })
     }
@@ -184,7 +217,7 @@
         let hopeless = queue.filter(|(_, waiter)| hopeless(self, waiter));
         let keys: Vec<WaitKey> = hopeless.map(|(key, _)| key).collect();
         let refuse = |key| {
-            self.queue.remove(key);
+            self.unqueue(key);
             let result = Err(Self::refusal(cause, Duration::ZERO));
             Released { key, result }
         };
@@ -198,6 +231,6 @@
 
     /// Drops a queued request whose caller disconnected.
     pub fn cancel(&mut self, key: WaitKey) {
-        self.queue.remove(key);
+        self.unqueue(key);
     }
 }
--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -3,6 +3,8 @@
 //! - [`closing`]: which requests are still sent before the process ends.
 //! - [`detector`]: failure detector of one server, and when a suspect server is tried again.
 //! - [`balancer`]: the servers of one service, the choice among them, and the queue.
+//! - [`durations`]: average durations of the requests of each route.
+//! - [`lines`]: the teams that have queued requests.
 //! - [`pause`]: pauses that servers ask for.
 //! - [`retry`]: budget of retries and hedged sends.
 //! - [`hedge`]: when a second attempt starts while the first is in progress.
@@ -17,9 +19,11 @@
 pub mod balancer;
 pub mod closing;
 pub mod detector;
+pub mod durations;
 pub mod hedge;
 pub mod idle;
 pub mod limit;
+pub mod lines;
 pub mod options;
 pub mod overload;
 pub mod pause;
--- a/crates/wb-balance/src/shares.rs
+++ b/crates/wb-balance/src/shares.rs
@@ -59,10 +59,15 @@
     }
 
     /// Tag of the request of a team that would be served next. The team with the lowest is next.
-    pub fn tag(&self, request: &RequestInfo) -> f64 {
-        let clock = self.clocks.get(&request.priority);
-        let credit = CREDIT / self.weight(request);
-        clock.map_or(0.0, |clock| clock.start_early(&flow(request), credit))
+    pub fn tag(&self, priority: u8, flow: &Flow, weight: f64) -> f64 {
+        let clock = self.clocks.get(&priority);
+        let credit = CREDIT / weight;
+        clock.map_or(-credit, |clock| clock.start_early(flow, credit))
+    }
+
+    /// The same for the team of a request that has none queued.
+    pub fn next_tag(&self, request: &RequestInfo) -> f64 {
+        self.tag(request.priority, &flow(request), self.weight(request))
     }
 
     /// Records that a request gets a slot. `in_flight` are the requests that have one, this one
