--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -3,12 +3,15 @@
 //! - [`closing`]: which requests are still sent before the process ends.
 //! - [`detector`]: failure detector of one server, and when a suspect server is tried again.
 //! - [`balancer`]: the servers of one service, the choice among them, and the queue.
+//! - [`durations`]: average durations of the requests of each route.
+//! - [`lines`]: the teams that have queued requests.
 //! - [`pause`]: pauses that servers ask for.
 //! - [`retry`]: budget of retries and hedged sends.
 //! - [`hedge`]: when a second attempt starts while the first is in progress.
 //! - [`idle`]: how long a connection may have been idle and still be reused.
 //! - [`limit`]: request rates to which servers limit the fleet.
 //! - [`options`]: limits and cost weights, with their units.
+//! - [`shares`]: what each team has been served, and is due.
 //! - [`overload`]: how long requests have come faster than they are served.
 //!
 //! All functions take the current time as an argument, so that tests run on virtual time.
@@ -16,13 +19,16 @@
 pub mod balancer;
 pub mod closing;
 pub mod detector;
+pub mod durations;
 pub mod hedge;
 pub mod idle;
 pub mod limit;
+pub mod lines;
 pub mod options;
 pub mod overload;
 pub mod pause;
 pub mod retry;
+pub mod shares;
 
 pub use balancer::Assignment;
 pub use balancer::AttemptOutcome;
