--- a/crates/wb-team/src/table.rs
+++ b/crates/wb-team/src/table.rs
@@ -38,7 +38,7 @@
     pub other: TeamName,
 }
 
-/// All teams of one version. Without any, requests need no key.
+/// All teams of one version. Where the configuration names none, requests need no key.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TeamTable {
@@ -46,6 +46,8 @@
     keys: HashMap<KeyDigest, TeamName>,
     /// Names of the routes whose requests need no key.
     public_routes: BTreeSet<Arc<str>>,
+    /// Whether requests need a key although no team may be known.
+    needs_keys: bool,
 }
 
 impl TeamTable {
@@ -65,14 +67,24 @@
         shared
     }
 
+    /// Lets requests need a key, also if no team can be added.
+    pub fn require_keys(&mut self) {
+        self.needs_keys = true;
+    }
+
     /// Marks a route whose requests need no key.
     pub fn add_public_route(&mut self, route: Arc<str>) {
         self.public_routes.insert(route);
     }
 
-    /// Whether there is no team, and requests need no key.
+    /// Whether the configuration names no teams, and requests need no key.
     pub fn is_empty(&self) -> bool {
-        self.teams.is_empty()
+        self.teams.is_empty() && !self.needs_keys
+    }
+
+    /// Number of teams.
+    pub fn team_count(&self) -> usize {
+        self.teams.len()
     }
 
     /// Teams by name.
@@ -90,6 +102,11 @@
         self.keys.len()
     }
 
+    /// Number of routes whose requests need no key.
+    pub fn public_route_count(&self) -> usize {
+        self.public_routes.len()
+    }
+
     /// The team of a request on a route, by the key that the request carries. `None` if the route is
     /// public and the request has no key that is known, or if there are no teams.
     ///
