gateway: the team of a request, by its key

Cause: every request was served whatever key it had, the key went on to the server, and no team was named to it. Change: where the configuration names teams, the key is taken out of the head before the request is routed, with all spellings of its header and the team's. An unknown, missing or repeated key is answered 401, or 503 while another instance has announced newer routes. The team is named to the server after the headers of the caller's connection are dropped. A request that is passed on names its team in a header that counts on the listener for peers alone, and is not checked again there. Routes travel between instances with their teams as a last field, as digests; routes of a build that sends none are not applied (E508). E507 says that a table with teams is in force.

--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -101,6 +101,10 @@
     RoutesApplied = 505,
     /// The platform's store is in another era: it came back from an older copy.
     PlatformRestored = 506,
+    /// A version of the routes that names teams is in force.
+    TeamsApplied = 507,
+    /// The routes of another instance were not applied, since it doesn't say whether there are teams.
+    TeamsUntold = 508,
     /// The outcome of a ticket's request was settled.
     TicketSettled = 601,
     /// Tickets were moved from a leaving instance to another.
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use tokio::sync::Notify;
@@ -48,6 +49,8 @@
     pub era: Option<Era>,
     /// Peer address of an instance that has announced newer routes, and their version.
     pub newer_peer: Option<(SocketAddr, TableVersion)>,
+    /// Highest version of the routes that another instance has announced, and when it last did.
+    pub announced_routes: Option<(TableVersion, Moment)>,
     /// Versions up to which no change of the routes is missing.
     pub routes_coverage: Coverage,
     /// When the routes were last confirmed as the newest.
@@ -66,6 +69,19 @@
     pub reach: Reach,
 }
 
+/// Time for which an announcement of newer routes counts: that of a few heartbeats.
+const ANNOUNCEMENT_LIFE: Duration = Duration::from_secs(1);
+
+impl State {
+    /// Whether another instance has newer routes, as it has announced a moment ago.
+    pub fn has_older_routes(&self, now: Moment) -> bool {
+        let own = self.routes.as_ref().map_or(0, |routes| routes.version);
+        self.announced_routes.is_some_and(|(version, at)| {
+            version > own && now.saturating_sub(at) < ANNOUNCEMENT_LIFE
+        })
+    }
+}
+
 /// State shared by all parts of the daemon.
 pub struct Context {
     /// Settings.
@@ -138,6 +154,7 @@
             read_version: 0,
             era: None,
             newer_peer: None,
+            announced_routes: None,
             routes_coverage: Coverage::default(),
             routes_confirmed: Moment::ZERO,
             listing: Listing::new(times.proof),
--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -199,6 +199,15 @@
         routes = table.len(),
         source = source
     );
+    if !table.teams.is_empty() {
+        line!(
+            Event::TeamsApplied,
+            version = table.version,
+            teams = table.teams.team_count(),
+            keys = table.teams.key_count(),
+            public = table.teams.public_route_count()
+        );
+    }
     context.metrics.routes_version.set(table.version as i64);
     let first = state.routes.is_none();
     state.routes = Some(Arc::new(table));
@@ -221,15 +230,16 @@
 
 /// Reads and applies a snapshot of another instance. Returns whether the instance answered.
 async fn sync_from(context: &Context, address: SocketAddr) -> bool {
-    let Some(snapshot) = snapshot::fetch(context, address).await else {
+    let Some(mut snapshot) = snapshot::fetch(context, address).await else {
         return false;
     };
+    let routes = snapshot.take_routes(address);
     let now = context.now();
     let mut state = context.state();
     for card in snapshot.cards {
         state.steering.add_peer(card, now);
     }
-    if let Some(table) = snapshot.routes {
+    if let Some(table) = routes {
         apply(context, &mut state, table, "peer");
     }
     let behind = snapshot.read_version > state.listing.read_version();
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -115,6 +115,7 @@
     let routes = state.routes.as_ref().map_or(0, |routes| routes.version);
     if heartbeat.routes_version > routes {
         state.newer_peer = Some((peer, heartbeat.routes_version));
+        state.announced_routes = Some((heartbeat.routes_version, now));
         context.routes_wakeup.notify_one();
     }
     let announced = Announcement {
--- a/crates/wb-gateway/src/peers/snapshot.rs
+++ b/crates/wb-gateway/src/peers/snapshot.rs
@@ -25,6 +25,7 @@
 use wb_members::listing::RowChange;
 use wb_members::steering::Card;
 use wb_route::RouteTable;
+use wb_team::TeamTable;
 
 use crate::Context;
 use crate::context::State;
@@ -53,6 +54,57 @@
     pub rows: Vec<RowChange>,
     /// Known instances.
     pub cards: Vec<Card>,
+    /// Teams of the routes; `None` from builds that send none.
+    #[serde(deserialize_with = "wb_types::wire::or_default")]
+    pub teams: Option<TeamTable>,
+}
+
+impl Snapshot {
+    /// Takes the routes with their teams, if the sender at `address` says whether there are teams.
+    pub fn take_routes(&mut self, address: SocketAddr) -> Option<RouteTable> {
+        with_teams(self.routes.take()?, self.teams.take(), address)
+    }
+}
+
+/// Routes as instances read them from each other. Older builds read and send the first field alone.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RoutesMessage {
+    /// Routes in use.
+    pub routes: Option<RouteTable>,
+    /// Teams of the routes; `None` from builds that send none.
+    #[serde(deserialize_with = "wb_types::wire::or_default")]
+    pub teams: Option<TeamTable>,
+}
+
+impl RoutesMessage {
+    /// The routes with their teams, if the sender at `address` says whether there are teams.
+    pub fn into_routes(self, address: SocketAddr) -> Option<RouteTable> {
+        with_teams(self.routes?, self.teams, address)
+    }
+
+    /// The message on the routes in use.
+    fn of(routes: Option<&RouteTable>) -> Self {
+        Self {
+            routes: routes.cloned(),
+            teams: routes.map(|routes| routes.teams.clone()),
+        }
+    }
+}
+
+/// Adds the teams to routes that another instance has sent. Routes of a build that doesn't say whether
+/// there are teams can't be used: they would open all services to requests without a key if there are.
+fn with_teams(
+    routes: RouteTable,
+    teams: Option<TeamTable>,
+    address: SocketAddr,
+) -> Option<RouteTable> {
+    let Some(teams) = teams else {
+        line!(Event::TeamsUntold, peer = address, version = routes.version);
+        return None;
+    };
+    let mut routes = routes;
+    routes.teams = teams;
+    Some(routes)
 }
 
 /// Answers the calls of other instances.
@@ -87,16 +139,16 @@
 impl PeerHandler {
     fn encode_routes(&self) -> Vec<u8> {
         let routes = self.0.state().routes.clone();
-        postcard::to_stdvec(&routes.as_deref()).expect("routes are plain data")
+        let message = RoutesMessage::of(routes.as_deref());
+        postcard::to_stdvec(&message).expect("routes are plain data")
     }
 
     fn encode_snapshot(&self) -> Vec<u8> {
         let state = self.0.state();
+        let RoutesMessage { routes, teams } = RoutesMessage::of(state.routes.as_deref());
         let snapshot = Snapshot {
-            routes: state
-                .routes
-                .as_ref()
-                .map(|routes| RouteTable::clone(routes)),
+            routes,
+            teams,
             read_version: state.listing.read_version(),
             rows: listing_rows(&state),
             cards: state.steering.cards(),
@@ -123,11 +175,11 @@
 }
 
 /// Requests only the routes from another instance, since a smaller response is more likely to get
-/// through a lossy path. `None` if the call fails or the instance has no routes.
+/// through a lossy path. `None` if the call fails, or the instance has no routes or doesn't say whether there are
+/// teams.
 pub async fn fetch_routes(context: &Context, address: SocketAddr) -> Option<RouteTable> {
-    let routes: Option<Option<RouteTable>> =
-        call(context, address, ROUTES_PATH, ROUTES_TIMEOUT).await;
-    routes.flatten()
+    let message: Option<RoutesMessage> = call(context, address, ROUTES_PATH, ROUTES_TIMEOUT).await;
+    message?.into_routes(address)
 }
 
 /// Calls another instance over a new connection, since an idle one may be dead without notice after
--- a/crates/wb-gateway/src/platform.rs
+++ b/crates/wb-gateway/src/platform.rs
@@ -146,6 +146,10 @@
     pub instance: HeaderName,
     /// Marks a response of a server that is leaving.
     pub server_leaving: HeaderName,
+    /// Key of the caller's team, in requests of callers.
+    pub key: HeaderName,
+    /// Name of the caller's team, in requests to servers.
+    pub team: HeaderName,
 }
 
 /// A caller's query for the addresses to use.
--- a/crates/wb-gateway/src/proxy/attempt.rs
+++ b/crates/wb-gateway/src/proxy/attempt.rs
@@ -32,6 +32,7 @@
 use super::routed::RoutedRequest;
 use super::slot::Slot;
 use super::streamed::StreamedBody;
+use super::team;
 use crate::Context;
 
 /// Connections to backend servers. A new one takes a few milliseconds, so half a second without one
@@ -361,6 +362,7 @@
     if let Ok(name) = HeaderValue::from_str(&slot.assignment.server.name) {
         headers.insert(&names.target, name);
     }
+    team::name(&mut headers, routed.caller.as_ref(), &names.team);
     *request.headers_mut() = headers;
     request
 }
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -1,6 +1,7 @@
 //! Forwarding of callers' requests to backend servers.
 //!
 //! - [`routed`]: the route and deadline of a request.
+//! - `team`: the team of its caller.
 //! - [`payload`]: its body.
 //! - [`forward`]: attempts, retries and hedged attempts.
 //! - [`slot`]: slots at backend servers.
@@ -35,6 +36,7 @@
 pub mod routed;
 pub mod slot;
 pub mod streamed;
+mod team;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -94,6 +96,7 @@
             let mut request = request;
             // Only instances may say that a request was passed on.
             Origin::take(request.headers_mut());
+            team::take_passed(request.headers_mut());
             let mut response = self.route(request, Origin::Caller).await;
             if self.0.is_leaving() {
                 let close = HeaderValue::from_static("close");
--- a/crates/wb-gateway/src/proxy/peer.rs
+++ b/crates/wb-gateway/src/proxy/peer.rs
@@ -1,7 +1,8 @@
 //! Requests that are passed on to another instance, since this one has no way to a server.
 //!
 //! The other one handles them as its own, and passes them on no further. Nothing else differs: the id,
-//! the deadline, the body and the server's response stay as they are.
+//! the deadline, the body and the server's response stay as they are. Where the configuration names
+//! teams, the team of the caller goes along instead of its key.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,6 +24,7 @@
 use super::attempt::Outcome;
 use super::routed::Origin;
 use super::routed::RoutedRequest;
+use super::team;
 use crate::Context;
 
 /// Most connections to one other instance. Each has one request at a time.
@@ -125,6 +127,7 @@
     let remaining = HeaderValue::from(remaining.as_millis() as u64);
     headers.insert(&context.headers.deadline, remaining);
     Origin::mark(&mut headers, attempts);
+    team::mark(&mut headers, routed.caller.as_ref(), &context.headers);
     *request.headers_mut() = headers;
     request
 }
--- a/crates/wb-gateway/src/proxy/response.rs
+++ b/crates/wb-gateway/src/proxy/response.rs
@@ -138,6 +138,7 @@
             Event::Answered,
             request = self.routed.id,
             route = self.routed.route.name,
+            team = self.routed.team_name(),
             status = status.as_u16(),
             sends = attempts,
             took_ms = self.took().as_millis() as u64
@@ -161,6 +162,7 @@
             Event::Refused,
             request = self.routed.id,
             route = self.routed.route.name,
+            team = self.routed.team_name(),
             waiting = balancer.queued_count(),
             usable = balancer.usable_count(),
             suspects = balancer.suspect_count(),
@@ -182,6 +184,7 @@
             Event::Failed,
             request = self.routed.id,
             route = self.routed.route.name,
+            team = self.routed.team_name(),
             reason = reason,
             sends = attempts,
             took_ms = self.took().as_millis() as u64
--- a/crates/wb-gateway/src/proxy/routed.rs
+++ b/crates/wb-gateway/src/proxy/routed.rs
@@ -19,6 +19,7 @@
 use wb_types::id::RequestKey;
 use wb_types::id::ServiceName;
 
+use super::team;
 use crate::Context;
 
 /// Reason to answer a request without forwarding it.
@@ -121,9 +122,10 @@
     ///
     /// # Errors
     ///
-    /// A [`Rejection`] if there is no route, the head is too large, the request id is missing, or
-    /// the instance takes no requests.
+    /// A [`Rejection`] if there is no route, the head is too large, the request id or a known key is
+    /// missing, or the instance takes no requests.
     pub fn read(context: &Context, head: Parts, origin: Origin) -> Result<Self, Rejection> {
+        let mut head = head;
         let received = head.extensions.get::<ReceivedAt>();
         let waited = received.map_or(Duration::ZERO, |received| received.0.elapsed());
         let arrived = context.now().saturating_sub(waited);
@@ -134,7 +136,9 @@
         let Some(routes) = routes else {
             return Err(Rejection::retry_later("no_routes", NO_ROUTES_RETRY));
         };
-        if header_size(&head.headers) > routes.limits.head_bytes {
+        let head_size = header_size(&head.headers);
+        let claim = team::take_claim(context, &routes.teams, &mut head.headers, origin);
+        if head_size > routes.limits.head_bytes {
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
             return Err(Rejection::new(status, "head_too_large"));
         }
@@ -144,6 +148,7 @@
         let Some(id) = header_text(&head.headers, &context.headers.request_id) else {
             return Err(Rejection::new(StatusCode::BAD_REQUEST, "no_request_id"));
         };
+        let caller = team::identify(context, &routes.teams, &route.name, claim)?;
         let serial = context.next_serial();
         let Some(weighted) = route.service_for(serial) else {
             return Err(Rejection::new(
@@ -164,7 +169,7 @@
             route: route.clone(),
             head,
             origin,
-            caller: None,
+            caller,
             tag: serial,
             key: OnceLock::new(),
         })
@@ -186,6 +191,11 @@
         priority.unwrap_or(self.route.priority)
     }
 
+    /// Name of the request's team, as it is logged.
+    pub fn team_name(&self) -> Option<&str> {
+        self.caller.as_ref().map(|caller| &*caller.team)
+    }
+
     /// The team of the request, and what it is due.
     pub fn team_share(&self) -> Option<TeamShare> {
         let caller = self.caller.as_ref()?;
--- a/crates/wb-stand/src/published/fixtures.rs
+++ b/crates/wb-stand/src/published/fixtures.rs
@@ -67,6 +67,21 @@
     })
 }
 
+/// Returns a configuration with teams, each with its keys, and one more route, `/public/`, whose
+/// requests need no key.
+pub fn config_with_teams(version: u64, teams: &[(&str, &[&str])]) -> Value {
+    let mut config = config(version, 0);
+    let mut public = config["routes"]["lookup"].clone();
+    public["prefix"] = json!("/public/");
+    public["public"] = json!(true);
+    config["routes"]["public"] = public;
+    config["tenants"] = json!({});
+    for (name, keys) in teams {
+        config["tenants"][name] = json!({"api_keys": keys, "rate_per_s": 0, "burst": 0});
+    }
+    config
+}
+
 /// Start of the first process of each server, in Unix milliseconds.
 const BORN: u64 = 1_700_000_000_000;
 /// Number of server rows so far: each has a higher count of writes than those before.
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -37,6 +37,10 @@
 pub const SIGNATURE: &str = "x-wisteriabarrow-response-signature";
 /// Header that names the only server that may execute the request.
 pub const TARGET: &str = "x-wisteriabarrow-target-instance";
+/// Header with the key of the caller's team, in requests of callers.
+pub const KEY: &str = "x-wisteriabarrow-credential";
+/// Header with the name of the caller's team, in requests to servers.
+pub const TEAM: &str = "x-wisteriabarrow-tenant";
 /// Header of responses to requests that were not executed.
 pub const NOT_EXECUTED: &str = "x-wisteriabarrow-not-executed";
 
@@ -216,6 +220,10 @@
     /// Pause that it asks for when it sheds a request.
     pause: Mutex<Option<Duration>>,
     arrivals: Mutex<Vec<Arrival>>,
+    /// Heads of the requests that arrived; `None` while they are not recorded.
+    heads: Mutex<Option<Vec<HeaderMap>>>,
+    /// Trailers of the bodies that arrived.
+    trailers: Mutex<Vec<HeaderMap>>,
     ledger: Arc<Ledger>,
     /// Requests that make the server end.
     crash_rule: Mutex<Option<CrashRule>>,
@@ -256,6 +264,8 @@
             leaving: Mutex::default(),
             pause: Mutex::default(),
             arrivals: Mutex::default(),
+            heads: Mutex::default(),
+            trailers: Mutex::default(),
             ledger,
             crash_rule: Mutex::default(),
             process: watch::Sender::new(Process::Up(0)),
@@ -382,8 +392,31 @@
         arrivals.into_iter().map(|arrival| arrival.at).collect()
     }
 
+    /// Records the heads of all requests from now on.
+    pub fn record_heads(&self) {
+        let mut heads = self.heads.lock().expect("lock is not poisoned");
+        heads.get_or_insert_default();
+    }
+
+    /// Returns the heads of the requests that arrived while they were recorded.
+    pub fn heads(&self) -> Vec<HeaderMap> {
+        let heads = self.heads.lock().expect("lock is not poisoned");
+        heads.clone().unwrap_or_default()
+    }
+
+    /// Returns the trailers of the bodies that arrived.
+    pub fn trailers(&self) -> Vec<HeaderMap> {
+        let trailers = self.trailers.lock().expect("lock is not poisoned");
+        trailers.clone()
+    }
+
     /// Records a request that arrived. Returns its index.
     fn record_arrival(&self, headers: &HeaderMap, from: IpAddr) -> usize {
+        let mut heads = self.heads.lock().expect("lock is not poisoned");
+        if let Some(heads) = heads.as_mut() {
+            heads.push(headers.clone());
+        }
+        drop(heads);
         let mut arrivals = self.arrivals.lock().expect("lock is not poisoned");
         arrivals.push(Arrival {
             id: header(headers, REQUEST_ID).unwrap_or_default(),
@@ -472,6 +505,10 @@
             return Ok(not_executed(StatusCode::SERVICE_UNAVAILABLE, Some(&id)));
         }
         let content = incoming.collect().await.map_err(io::Error::other)?;
+        if let Some(trailers) = content.trailers() {
+            let mut all = self.trailers.lock().expect("lock is not poisoned");
+            all.push(trailers.clone());
+        }
         self.ledger.add(
             &id,
             Run {
