--- a/crates/wb-gateway/src/proxy/response.rs
+++ b/crates/wb-gateway/src/proxy/response.rs
@@ -138,6 +138,7 @@
             Event::Answered,
             request = self.routed.id,
             route = self.routed.route.name,
+            team = self.routed.team(),
             status = status.as_u16(),
             sends = attempts,
             took_ms = self.took().as_millis() as u64
@@ -185,6 +186,7 @@
             Event::Failed,
             request = self.routed.id,
             route = self.routed.route.name,
+            team = self.routed.team(),
             reason = reason,
             sends = attempts,
             took_ms = self.took().as_millis() as u64
