balance: repeats are kept for a higher priority only as far as it could use them

Cause: three tenths of the retry budget are kept for the highest priority that was ever seen. Change: what is kept is no more than one repeat for each request of a higher priority, by the requests of the last window, and three tenths as before at most. Result: tests/shares.rs, 200 requests a second, servers shed 0.55 for 8.5 s, budget 450: with one urgent request a second the others get 420 repeats (300), the urgent ones all; with sixty, 217 and 219 as before. The former is red on the rule before. All of wb-balance green.

--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -41,6 +41,7 @@
 use crate::lines::Lines;
 use crate::overload::Overload;
 use crate::pause::MissingServers;
+use crate::ranks::Ranks;
 use crate::shares::Flow;
 use crate::shares::Shares;
 
@@ -279,8 +280,7 @@
     return_allowance: f64,
     /// When the evidence on suspects was last updated.
     decayed_at: Moment,
-    /// Highest priority seen so far; 0 is the highest possible.
-    top_priority: u8,
+    ranks: Ranks,
     retry_budget: RetryBudget,
     /// How servers' limits are divided among the instances.
     division: Division,
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -32,7 +32,7 @@
     pub fn admit(&mut self, request: RequestInfo, now: Moment) -> Decision {
         self.retry_budget.record_request(now);
         self.shares.record(&request);
-        self.top_priority = self.top_priority.min(request.priority);
+        self.ranks.record(request.priority, now);
         let explorer = f64::from(u8::from(request.may_explore()));
         self.explorer_share += (explorer - self.explorer_share) * EXPLORER_ALPHA;
         self.decide(request, now)
--- a/crates/wb-balance/src/balancer/repeats.rs
+++ b/crates/wb-balance/src/balancer/repeats.rs
@@ -8,7 +8,7 @@
 use super::RequestInfo;
 use crate::shares;
 
-/// Share of the retry budget that is reserved for requests of the highest priority.
+/// Largest share of the retry budget that is reserved for requests of a higher priority.
 pub(super) const RESERVED_SHARE: f64 = 0.3;
 /// Time for which a team that has asked for a repeat is expected to ask again.
 pub(super) const REPEAT_PATIENCE: Duration = Duration::from_secs(1);
@@ -21,10 +21,12 @@
             .max(self.reserved_team(request, now))
     }
 
-    /// Share that a request must leave to those of a higher priority.
+    /// Share that a request must leave to those of a higher priority: no more than they could use if
+    /// each of them were sent again.
     fn reserved_rank(&self, request: &RequestInfo) -> f64 {
-        if request.priority > self.top_priority {
-            RESERVED_SHARE
+        let above = self.ranks.share_above(request.priority);
+        if above > 0.0 {
+            (above / self.retry_budget.ratio()).min(RESERVED_SHARE)
         } else {
             0.0
         }
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -22,6 +22,7 @@
 use crate::lines::Lines;
 use crate::overload::Overload;
 use crate::pause::MissingServers;
+use crate::ranks::Ranks;
 use crate::shares::Shares;
 
 /// Failure rate that is assumed before any send: nothing is known of any server.
@@ -60,7 +61,7 @@
             explorer_share: 0.0,
             return_allowance: 0.0,
             decayed_at: Moment::ZERO,
-            top_priority: u8::MAX,
+            ranks: Ranks::new(window),
             retry_budget,
             division: Division::default(),
             overload: Overload::default(),
--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`idle`]: how long a connection may have been idle and still be reused.
 //! - [`limit`]: request rates to which servers limit the fleet.
 //! - [`options`]: limits and cost weights, with their units.
+//! - [`ranks`]: how many of the requests that come are of which priority.
 //! - [`shares`]: what each team has been served, and is due.
 //! - [`overload`]: how long requests have come faster than they are served.
 //!
@@ -27,6 +28,7 @@
 pub mod options;
 pub mod overload;
 pub mod pause;
+pub mod ranks;
 pub mod retry;
 pub mod shares;
 
--- a/crates/wb-balance/src/retry.rs
+++ b/crates/wb-balance/src/retry.rs
@@ -75,6 +75,11 @@
         allowances.reduce(f64::min).unwrap_or(self.reserve)
     }
 
+    /// Further sends that are allowed for each request.
+    pub fn ratio(&self) -> f64 {
+        self.ratio
+    }
+
     /// Length of a window.
     pub fn window(&self) -> Duration {
         self.window
--- a/crates/wb-balance/tests/shares.rs
+++ b/crates/wb-balance/tests/shares.rs
@@ -60,6 +60,7 @@
     sent: usize,
     in_time: usize,
     repeats: usize,
+    refused_repeats: usize,
     waits: Vec<Duration>,
     /// For how long those that were refused in the end had been held.
     held: Vec<Duration>,
@@ -232,6 +233,7 @@
         let decision = self.balancer.retry(request.clone(), now);
         let sent = !matches!(decision, Decision::Refuse(_));
         self.got[team].repeats += usize::from(sent);
+        self.got[team].refused_repeats += usize::from(!sent);
         self.decided(decision, team, request, now);
     }
 }
@@ -598,3 +600,56 @@
     let decision = balancer.hedge(hedge(1), now);
     assert!(matches!(decision, Decision::Send(_)), "{decision:?}");
 }
+
+/// Plays requests of two priorities, of which `urgent` of 200 a second have the higher one, while all
+/// servers shed half of what they get. The retry budget is that of two hundred a second in ten seconds.
+fn play_ranks(urgent: f64) -> Vec<Got> {
+    let mut first = Team::steady("urgent", urgent);
+    first.priority = 0;
+    let teams = [first, Team::steady("usual", 200.0 - urgent)];
+    let mut play = Play::new(20, 6, &teams, false);
+    play.run(at(0), at(10_000));
+    play.got = vec![Got::default(); teams.len()];
+    play.shed_share = 0.55;
+    play.run(at(10_000), at(18_500));
+    play.finish(at(18_500))
+}
+
+/// Sends that the retry budget of [`play_ranks`] allows in a window.
+const REPEATS_MAX: usize = 2000 / 5 + 50;
+
+#[test]
+fn repeats_are_not_kept_for_a_priority_that_hardly_anybody_has() {
+    let got = play_ranks(1.0);
+    let (urgent, usual) = (&got[0], &got[1]);
+    println!(
+        "few urgent: {} and {} repeats",
+        urgent.repeats, usual.repeats
+    );
+    assert!(urgent.refused_repeats == 0, "{}", urgent.refused_repeats);
+    assert!(
+        usual.repeats as f64 >= 0.85 * REPEATS_MAX as f64,
+        "{}",
+        usual.repeats
+    );
+}
+
+#[test]
+fn repeats_are_kept_for_a_priority_that_many_have() {
+    let got = play_ranks(60.0);
+    let (urgent, usual) = (&got[0], &got[1]);
+    println!(
+        "many urgent: {} and {} repeats",
+        urgent.repeats, usual.repeats
+    );
+    let served = |of: &Got| of.repeats as f64 / (of.repeats + of.refused_repeats) as f64;
+    assert!(urgent.repeats as f64 >= 0.3 * REPEATS_MAX as f64);
+    assert!(
+        served(urgent) >= 2.0 * served(usual),
+        "{} {}",
+        served(urgent),
+        served(usual)
+    );
+    let all = urgent.repeats + usual.repeats;
+    assert!(all as f64 >= 0.85 * REPEATS_MAX as f64, "{all}");
+}
