http: parts and odd statuses never look like whole answers

Users of other systems saw a part of an answer taken for the whole one after a reset, and an answer of status 000. The reset of an upload's answer was not found here on real sockets, but two faults of its class were: a streamed body of unknown length that broke off ended the connection of an HTTP/1.0 caller in order, which is how HTTP/1.0 ends a body; and statuses 101, 600 and 999 were passed on.

Such a connection now ends with a reset until the body has ended, whatever ends it (serve/unframed.rs), and a status outside 200 to 599 ends no request (header::is_final), in the gateway and in the entry daemon.

--- a/crates/wb-entry/src/proxy/backend.rs
+++ b/crates/wb-entry/src/proxy/backend.rs
@@ -15,6 +15,7 @@
 use wb_http::Body;
 use wb_http::SendError;
 use wb_http::body;
+use wb_http::header::is_final;
 use wb_http::pool::PooledResponse;
 use wb_http::pool::SendOptions;
 use wb_http::pool::tag_of;
@@ -121,7 +122,8 @@
         report_leaving(inflight, &assignment.server);
     }
     let reused = response.body().idle_time().is_some();
-    if !header::is_response_to(&inflight.info.id, response.headers(), reused) {
+    let is_own = header::is_response_to(&inflight.info.id, response.headers(), reused);
+    if !is_own || !is_final(response.status()) {
         guard.finish(AttemptOutcome::Failure, None);
         response.into_body().close();
         return AttemptResult::Unknown(Reason::BrokenAnswer);
@@ -240,7 +242,7 @@
         let exchange = async {
             let response = pool.send(address, options, request).await.ok()?;
             let shed = response.headers().contains_key(header::SHED);
-            let failed = response.status().is_server_error();
+            let failed = response.status().is_server_error() || !is_final(response.status());
             let read = body::read(response.into_body(), BUFFER_MAX as usize, left).await;
             Some(match read {
                 _ if shed => AttemptOutcome::Shed,
--- a/crates/wb-gateway/src/proxy/claim.rs
+++ b/crates/wb-gateway/src/proxy/claim.rs
@@ -1,6 +1,7 @@
 //! What the head of a response says about the request.
 
 use http::StatusCode;
+use wb_http::header::is_final;
 use wb_http::pool::PooledResponse;
 
 use super::routed::RoutedRequest;
@@ -29,6 +30,9 @@
         let names = &context.headers;
         let headers = response.headers();
         let status = response.status();
+        if !is_final(status) {
+            return Self::Invalid("status that ends no request");
+        }
         let echoed = header_text(headers, &names.request_id);
         if echoed.is_some_and(|echoed| echoed != routed.id) {
             return Self::Invalid("response carries another request id");
--- a/crates/wb-http/src/header.rs
+++ b/crates/wb-http/src/header.rs
@@ -1,6 +1,7 @@
-//! End-to-end and hop-by-hop headers.
+//! End-to-end and hop-by-hop headers, and statuses that end a request.
 
 use http::HeaderMap;
+use http::StatusCode;
 
 /// Headers that apply to a single connection.
 const HOP_BY_HOP: [&str; 8] = [
@@ -29,3 +30,9 @@
     }
     kept
 }
+
+/// Whether a status ends a request. A [`StatusCode`] may also be an interim one, or one that HTTP doesn't
+/// define and that a faulty server sends.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
--- a/crates/wb-http/src/serve/connection.rs
+++ b/crates/wb-http/src/serve/connection.rs
@@ -27,6 +27,7 @@
 use super::Options;
 use super::read_ahead;
 use super::read_ahead::Monitor;
+use super::unframed;
 use crate::RequestBody;
 use crate::pool::configure;
 
@@ -88,7 +89,7 @@
     if let Some(error) = error {
         handler.connection_failed(peer, &error);
     }
-    if monitor.is_closed() {
+    if monitor.is_closed() || monitor.is_reset() {
         return;
     }
     // Closing a connection with unread bytes resets it, and the peer would lose the response.
@@ -113,11 +114,13 @@
         let mut request = RequestBody::wrap(request);
         let received = ReceivedAt(monitor.received());
         request.extensions_mut().insert(received);
+        let version = request.version();
+        let monitor = monitor.clone();
         let response = handler.clone().handle(request, peer);
         async move {
             let response = response.await;
             drop(guard);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(unframed::prepare(response, version, &monitor))
         }
     });
     let builder = configure_protocols(options);
--- a/crates/wb-http/src/serve/mod.rs
+++ b/crates/wb-http/src/serve/mod.rs
@@ -5,6 +5,7 @@
 
 mod connection;
 mod read_ahead;
+mod unframed;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/wb-http/src/serve/read_ahead.rs
+++ b/crates/wb-http/src/serve/read_ahead.rs
@@ -11,10 +11,12 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Buf;
 use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -35,6 +37,8 @@
     closed: bool,
     /// Whether the reader found nothing to read and waits for more.
     starved: bool,
+    /// Whether the connection ends with a reset.
+    reset: bool,
 }
 
 /// The reader's and writer's side of a stream.
@@ -52,6 +56,7 @@
         received: Instant::now(),
         closed: false,
         starved: false,
+        reset: false,
     }));
     (Reader(shared.clone()), Monitor(shared))
 }
@@ -104,6 +109,19 @@
         lock(&self.0).closed
     }
 
+    /// Lets the connection end with a reset, whatever ends it, or in order.
+    pub(super) fn set_reset(&self, reset: bool) {
+        let mut shared = lock(&self.0);
+        shared.reset = reset;
+        // An error means that the connection has already failed.
+        let _ = SockRef::from(&shared.stream).set_linger(reset.then_some(Duration::ZERO));
+    }
+
+    /// Whether the connection ends with a reset.
+    pub(super) fn is_reset(&self) -> bool {
+        lock(&self.0).reset
+    }
+
     /// Closes the own side, and discards up to `limit` bytes until the peer closes its side.
     pub(super) async fn linger(&self, limit: usize) -> io::Result<()> {
         let shutdown = |cx: &mut Context<'_>| {
--- a/crates/wb-http/tests/pipeline.rs
+++ b/crates/wb-http/tests/pipeline.rs
@@ -198,6 +198,17 @@
     );
 }
 
+/// To such a peer, the end of the connection is that of the response.
+#[tokio::test]
+async fn a_response_that_breaks_off_resets_the_connection_of_an_http_1_0_peer() {
+    let fixture = listen().await;
+    let mut stream = fixture.connect().await;
+    let head = b"GET /broken/1 HTTP/1.0\r\nhost: fleet\r\n\r\n";
+    stream.write_all(head).await.expect("open");
+    let result = read_all(&mut stream).await;
+    assert!(result.is_err(), "it looks complete: {result:?}");
+}
+
 #[tokio::test]
 async fn a_peer_that_leaves_is_noticed_while_its_next_request_waits() {
     let fixture = listen().await;
--- a/crates/wb-stand/src/lib.rs
+++ b/crates/wb-stand/src/lib.rs
@@ -5,9 +5,11 @@
 //! - [`published`]: the users' platform and backend servers, as their published protocol has them.
 //! - [`relay`]: network links that can be cut, also in one direction.
 //! - [`reply`]: JSON bodies of requests and responses.
+//! - [`scripted`]: servers that send scripted bytes.
 
 pub mod backend;
 pub mod platform;
 pub mod published;
 pub mod relay;
 pub mod reply;
+pub mod scripted;
