gateway: instances that the store serves tell the homes of newer routes

Cause: homes announce the version of the routes to all, candidates only to each other. If the store turns away the homes and all other candidates, nobody tells them of a newer version: a key that was taken away was served as long as that lasted. Change: an instance that is no candidate and has had newer routes with teams for 0.3 s answers the heartbeat of one with older routes by its own, about eight of all together. Without teams nothing of this is sent.

--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -51,6 +51,8 @@
     pub newer_peer: Option<(SocketAddr, TableVersion)>,
     /// Highest version of the routes that another instance has announced, and when it last did.
     pub announced_routes: Option<(TableVersion, Moment)>,
+    /// When the routes in use came into force.
+    pub routes_since: Moment,
     /// Versions up to which no change of the routes is missing.
     pub routes_coverage: Coverage,
     /// When the routes were last confirmed as the newest.
@@ -155,6 +157,7 @@
             era: None,
             newer_peer: None,
             announced_routes: None,
+            routes_since: Moment::ZERO,
             routes_coverage: Coverage::default(),
             routes_confirmed: Moment::ZERO,
             listing: Listing::new(times.proof),
--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -211,6 +211,7 @@
     context.metrics.routes_version.set(table.version as i64);
     let first = state.routes.is_none();
     state.routes = Some(Arc::new(table));
+    state.routes_since = now;
     if first {
         line!(Event::Ready, servers = state.listing.entries().len());
     }
--- a/crates/wb-gateway/src/peers/heartbeat.rs
+++ b/crates/wb-gateway/src/peers/heartbeat.rs
@@ -1,6 +1,7 @@
 //! Heartbeats, the choice of homes that follows from them, and request counts.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,10 @@
 /// Every sixteenth message has all counts, the others only changed ones. A lost datagram thus
 /// leaves the receivers with wrong counts for at most a second.
 const FULL_EVERY: u32 = 16;
+/// Time in which instances that the platform serves all have newer routes.
+const FOLLOW_TIME: Duration = Duration::from_millis(300);
+/// Instances that tell the sender of a heartbeat about newer routes, on average, where all can.
+const REPLIES: usize = 8;
 /// CPU cores that the homes need for each slot of the backend servers: a thousandth of a core
 /// carries one request a second, and a slot takes two requests a second.
 const CORES_PER_SLOT: f32 = 0.0015;
@@ -55,6 +60,24 @@
     }))
 }
 
+/// Tells another instance, whose routes are older, that this one has newer ones. Candidates tell each
+/// other by their heartbeats; if the platform turns all of them away, those that it serves have to.
+/// Only where there are teams: a key that was taken away counts until then.
+pub fn tell_routes(context: &Context, state: &State, peer: SocketAddr) {
+    let has_teams = state
+        .routes
+        .as_ref()
+        .is_some_and(|routes| !routes.teams.is_empty());
+    let in_force = context.now().saturating_sub(state.routes_since);
+    if !has_teams || in_force < FOLLOW_TIME || state.steering.is_candidate() {
+        return;
+    }
+    let others = state.steering.peer_addresses().len();
+    if rand::random_range(0..others.max(1)) < REPLIES {
+        context.send_packet(heartbeat(context, state, false), vec![peer]);
+    }
+}
+
 /// Sends heartbeats until the daemon ends.
 pub async fn run(context: Arc<Context>) {
     loop {
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -117,6 +117,8 @@
         state.newer_peer = Some((peer, heartbeat.routes_version));
         state.announced_routes = Some((heartbeat.routes_version, now));
         context.routes_wakeup.notify_one();
+    } else if heartbeat.routes_version < routes {
+        heartbeat::tell_routes(context, &state, peer);
     }
     let announced = Announcement {
         version: heartbeat.listing_version,
--- a/crates/wb-stand/src/published/gate.rs
+++ b/crates/wb-stand/src/published/gate.rs
@@ -54,17 +54,21 @@
         self.passage.send_replace(passage);
     }
 
-    /// Waits until calls are not answered by the store, and answers as they are then.
-    async fn refuse(&self) -> Response<Body> {
+    /// Waits until calls are not answered by the store.
+    async fn wait_closed(&self) -> Passage {
         let mut passage = self.passage.subscribe();
         let closed = passage.wait_for(|passage| *passage != Passage::Open).await;
         // The gate's own sender lives as long as the gate.
-        let closed = closed.map_or(Passage::Silent, |passage| *passage);
-        match closed {
-            Passage::Refuses(status) => reply::empty_response(status),
-            Passage::Resets => Response::new(broken_body()),
-            Passage::Open | Passage::Silent => std::future::pending().await,
-        }
+        closed.map_or(Passage::Silent, |passage| *passage)
+    }
+}
+
+/// Answers a call that the store does not get.
+async fn refuse(passage: Passage) -> Response<Body> {
+    match passage {
+        Passage::Refuses(status) => reply::empty_response(status),
+        Passage::Resets => Response::new(broken_body()),
+        Passage::Open | Passage::Silent => std::future::pending().await,
     }
 }
 
@@ -85,7 +89,7 @@
             let store = self.store.clone();
             tokio::select! {
                 biased;
-                response = self.refuse() => response,
+                passage = self.wait_closed() => refuse(passage).await,
                 response = store.handle(request, peer) => response,
             }
         }
