--- a/crates/wb-balance/src/balancer/repeats.rs
+++ b/crates/wb-balance/src/balancer/repeats.rs
@@ -11,7 +11,7 @@
 /// Largest share of the retry budget that is reserved for requests of a higher priority.
 pub(super) const RESERVED_SHARE: f64 = 0.3;
 /// Time for which a team that has asked for a repeat is expected to ask again.
-pub(super) const REPEAT_PATIENCE: Duration = Duration::from_secs(1);
+pub(super) const REPEAT_PATIENCE: Duration = Duration::from_secs(4);
 
 impl Balancer {
     /// Share of the retry budget that a request must leave to others: to those of a higher priority,
