gateway: requests above the allowance of their team are refused

Cause: the gateway knew allowances and counted nothing against them. Change: a request of a team with an allowance needs a token before its body is read; without one it waits up to 40 ms for another home to lend one, then gets a 429 with a Retry-After (a 503 at an instance that is cut off and can't tell). The token of a request that ends refused is given back. Four packets carry leases and loans; none is sent unless a team of the routes in force has an allowance. Leases run by CLOCK_BOOTTIME. Bounds and bootstrap come from the settings file. Metrics by team, of 100 teams at most; events 212, 213 and 409.

--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -47,6 +47,10 @@
     CallerGone = 210,
     /// A request may crash the servers which run it, or was cleared of that.
     RequestSuspected = 211,
+    /// A request was refused, since its team is over its allowance.
+    AllowanceExceeded = 212,
+    /// A request was refused, since this instance can't tell whether its team is over its allowance.
+    AllowanceUnknown = 213,
     /// The health state of a backend server changed.
     Health = 301,
     /// A backend server was not ejected, since the capacity left would be below the floor.
@@ -89,6 +93,8 @@
     PeerSilent = 407,
     /// A datagram to another instance could not be sent.
     PacketUnsent = 408,
+    /// This instance holds the parts of allowances of more or fewer instances.
+    LeasesChanged = 409,
     /// A newer version of the policy table is in force.
     TableApplied = 501,
     /// An edit of the policy table was accepted or refused, or its outcome is unknown.
@@ -126,7 +132,13 @@
     pub fn is_routine(self) -> bool {
         matches!(
             self,
-            Self::Routed | Self::Answered | Self::Resolved | Self::Queued | Self::ConnectionError
+            Self::Routed
+                | Self::Answered
+                | Self::Resolved
+                | Self::Queued
+                | Self::ConnectionError
+                | Self::AllowanceExceeded
+                | Self::AllowanceUnknown
         )
     }
 
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -12,6 +12,8 @@
 
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use wb_allowance::Ledger;
+use wb_allowance::ledger::Identity;
 use wb_balance::closing::Closing;
 use wb_http::Pool;
 use wb_http::pool::Connector;
@@ -27,6 +29,7 @@
 use wb_types::id::ServiceName;
 use wb_types::id::TableVersion;
 
+use crate::clock;
 use crate::metrics::Metrics;
 use crate::peers::Packet;
 use crate::platform::Catalog;
@@ -64,6 +67,10 @@
     pub quarantine: Quarantine,
     /// Whether this instance reaches the servers.
     pub reach: Reach,
+    /// Allowances of the teams.
+    pub allowances: Ledger,
+    /// Whether the other instances have been read, from the platform or a seed.
+    pub members_read: bool,
 }
 
 /// State shared by all parts of the daemon.
@@ -100,6 +107,8 @@
     pub queue_wakeup: Notify,
     /// Wakes the task that finds out when this instance reaches the servers again.
     pub path_wakeup: Notify,
+    /// Wakes the requests that wait for tokens of their team's allowance.
+    pub allowance_wakeup: Notify,
     state: Mutex<State>,
     leaving: AtomicBool,
     closing: AtomicBool,
@@ -146,6 +155,8 @@
             services: HashMap::new(),
             quarantine: Quarantine::default(),
             reach: Reach::new(wb_members::reach::Options::default()),
+            allowances: new_ledger(&parts.settings),
+            members_read: false,
         };
         Self {
             pool: Pool::with_connector(crate::proxy::attempt::POOL_OPTIONS, parts.connector),
@@ -164,6 +175,7 @@
             rejoin: Notify::new(),
             queue_wakeup: Notify::new(),
             path_wakeup: Notify::new(),
+            allowance_wakeup: Notify::new(),
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -251,3 +263,12 @@
         }
     }
 }
+
+fn new_ledger(settings: &Settings) -> Ledger {
+    let identity = Identity {
+        name: settings.card.name.clone(),
+        incarnation: settings.card.incarnation,
+        first_start: settings.first_start,
+    };
+    Ledger::new(identity, settings.bounds.tolerance, clock::boot_time())
+}
--- a/crates/wb-gateway/src/follow/members.rs
+++ b/crates/wb-gateway/src/follow/members.rs
@@ -61,6 +61,7 @@
 fn add_members(context: &Context, cards: Vec<wb_members::steering::Card>) {
     let now = context.now();
     let mut state = context.state();
+    state.members_read = true;
     let mut found = Vec::new();
     for card in cards {
         let address = card.peers;
--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -16,6 +16,7 @@
 use super::log_errors;
 use crate::Context;
 use crate::context::State;
+use crate::peers::allowance;
 use crate::peers::snapshot;
 use crate::platform::Error;
 use crate::platform::Routes;
@@ -202,6 +203,7 @@
     context.metrics.routes_version.set(table.version as i64);
     let first = state.routes.is_none();
     state.routes = Some(Arc::new(table));
+    allowance::apply_teams(state);
     if first {
         line!(Event::Ready, servers = state.listing.entries().len());
     }
--- a/crates/wb-gateway/src/lib.rs
+++ b/crates/wb-gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! Gateway daemon: a reverse proxy for callers that a platform's directory steers to it.
 //!
 //! - [`platform`]: interface to the platform that an adapter implements.
-//! - [`settings`], [`context`], [`service`], [`metrics`]: state shared by all parts.
+//! - [`settings`], [`context`], [`clock`], [`service`], [`metrics`], [`allowance_metrics`]: state shared by all parts.
 //! - [`proxy`]: forwarding of callers' requests to backend servers.
 //! - [`directory`]: endpoints that name addresses for callers and report readiness.
 //! - [`follow`]: synchronization of routes, servers and members with the platform.
@@ -11,6 +11,8 @@
 //! A few instances are homes: the directory names only their addresses, so that they carry nearly
 //! all requests. The other instances still serve callers that use older directory answers.
 
+pub mod allowance_metrics;
+pub mod clock;
 pub mod context;
 pub mod directory;
 pub mod follow;
--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
 
+use crate::allowance_metrics::AllowanceMetrics;
+
 /// Labels of finished requests.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct RequestLabels {
@@ -83,6 +85,8 @@
     pub packets_dropped: Counter,
     /// Log lines dropped and not yet reported by a log line.
     pub lines_dropped: Gauge,
+    /// Allowances of teams.
+    pub allowances: AllowanceMetrics,
 }
 
 /// Smallest bucket of the latency histograms, in seconds: about the time of one response from a
@@ -123,6 +127,7 @@
             routes_age: Gauge::default(),
             packets_dropped: Counter::default(),
             lines_dropped: Gauge::default(),
+            allowances: AllowanceMetrics::default(),
         };
         metrics.register()
     }
@@ -219,6 +224,7 @@
             "Log lines dropped",
             self.lines_dropped.clone(),
         );
+        self.allowances.register(&mut registry);
         self.registry = registry;
         self
     }
--- a/crates/wb-gateway/src/peers/mod.rs
+++ b/crates/wb-gateway/src/peers/mod.rs
@@ -4,6 +4,7 @@
 //! that the sender holds; an instance that is behind reads the rest from the platform, or from the
 //! sender if the platform does not answer ([`snapshot`]).
 
+pub mod allowance;
 pub mod heartbeat;
 pub mod leaving;
 pub mod limits;
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -6,6 +6,10 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use wb_allowance::Grant;
+use wb_allowance::Lease;
+use wb_allowance::Offer;
+use wb_allowance::Question;
 use wb_balance::Evidence;
 use wb_balance::idle::ResetCause;
 use wb_balance::limit::Observation;
@@ -96,6 +100,14 @@
         /// What the sender knows of them.
         reports: Vec<Report>,
     },
+    /// A home asks for the lease of the receiver's part of all allowances.
+    AllowanceOffer(Offer),
+    /// The sender leases its part of all allowances.
+    AllowanceLease(Lease),
+    /// The sender asks for tokens.
+    AllowanceQuestion(Question),
+    /// Response to such a question.
+    AllowanceGrant(Grant),
 }
 
 /// What a response says about the limit of its server, as another instance reports it.
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -15,6 +15,7 @@
 use wb_types::id::ServiceName;
 
 use super::Packet;
+use super::allowance;
 use super::heartbeat;
 use super::leaving;
 use super::limits;
@@ -52,6 +53,12 @@
             heartbeat::update_homes(context, &mut state);
         }
         Packet::CrashReports { from, reports } => quarantine::handle(context, &from, &reports),
+        Packet::AllowanceOffer(offer) => allowance::handle_offer(context, &offer, peer),
+        Packet::AllowanceLease(lease) => allowance::handle_lease(context, &lease),
+        Packet::AllowanceQuestion(question) => {
+            allowance::handle_question(context, &question, peer);
+        }
+        Packet::AllowanceGrant(grant) => allowance::handle_grant(context, &grant),
         Packet::PlatformEra { era } => {
             // The era counts only once the platform itself has answered in it.
             if context.state().era < Some(era) {
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -1,6 +1,7 @@
 //! Forwarding of callers' requests to backend servers.
 //!
 //! - [`routed`]: the route and deadline of a request.
+//! - [`allowance`]: the allowance of its caller's team.
 //! - [`payload`]: its body.
 //! - [`forward`]: attempts, retries and hedged attempts.
 //! - [`slot`]: slots at backend servers.
@@ -18,6 +19,7 @@
 //! - [`response`]: responses of the daemon itself, and the log lines and metrics of a finished
 //!   request.
 
+pub mod allowance;
 pub mod attempt;
 pub mod buffers;
 mod checked;
@@ -72,6 +74,13 @@
             Err(rejection) => return response::reject(context, None, id.as_deref(), &rejection),
         };
         let mut record = RequestRecord::new(context.clone(), routed.clone());
+        match allowance::admit(context, &routed).await {
+            Ok(token) => record.set_token(token),
+            Err(rejection) => {
+                record.end("refused", rejection.reason);
+                return response::reject(context, Some(&routed), None, &rejection);
+            }
+        }
         let payload = match Payload::read(&routed, &context.buffers, body).await {
             Ok(payload) => payload,
             Err(rejection) => {
--- a/crates/wb-gateway/src/proxy/response.rs
+++ b/crates/wb-gateway/src/proxy/response.rs
@@ -14,6 +14,7 @@
 use wb_http::Body;
 use wb_http::body;
 
+use super::allowance::Token;
 use super::peer;
 use super::request_key;
 use super::routed::Rejection;
@@ -100,6 +101,8 @@
 pub struct RequestRecord {
     context: Arc<Context>,
     routed: Arc<RoutedRequest>,
+    /// Token of its team's allowance; `None` if it needs none.
+    token: Option<Token>,
     ended: bool,
 }
 
@@ -109,10 +112,16 @@
         Self {
             context,
             routed,
+            token: None,
             ended: false,
         }
     }
 
+    /// Sets the token of its team's allowance, which is given back if the request is refused.
+    pub fn set_token(&mut self, token: Option<Token>) {
+        self.token = token;
+    }
+
     fn took(&self) -> Duration {
         self.context.now().saturating_sub(self.routed.arrived)
     }
@@ -120,6 +129,11 @@
     /// Counts the end of the request.
     pub fn end(&mut self, outcome: &'static str, reason: &'static str) {
         self.ended = true;
+        if outcome != "refused"
+            && let Some(token) = &mut self.token
+        {
+            token.spend();
+        }
         let labels = RequestLabels {
             service: self.routed.service.to_string(),
             repeat: self.routed.route.repeat.into(),
--- a/crates/wb-gateway/src/settings.rs
+++ b/crates/wb-gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use wb_allowance::Tolerance;
 use wb_members::steering::Card;
 
 /// Addresses that the daemon listens on.
@@ -39,6 +40,8 @@
     pub apply: Duration,
     /// Longest time that callers cache a directory answer.
     pub keep: Duration,
+    /// By how much a team's requests may exceed its allowance.
+    pub tolerance: Tolerance,
 }
 
 /// Settings of the daemon.
@@ -56,6 +59,8 @@
     pub connections: usize,
     /// Memory for bodies that are buffered, in bytes.
     pub buffers: usize,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Local address of connections to backend servers; the system chooses it if it is `None`.
     pub source: Option<IpAddr>,
 }
--- a/crates/wb-gateway/src/start.rs
+++ b/crates/wb-gateway/src/start.rs
@@ -123,6 +123,7 @@
         tokio::spawn(peers::heartbeat::run(context.clone()));
         tokio::spawn(peers::heartbeat::send_counts(context.clone()));
         tokio::spawn(peers::limits::send(context.clone()));
+        tokio::spawn(peers::allowance::run(context.clone()));
         tokio::spawn(peers::quarantine::send(context.clone()));
         tokio::spawn(proxy::path::probe(context.clone()));
         tokio::spawn(release_queued(context.clone()));
--- a/crates/wb-members/src/steering/mod.rs
+++ b/crates/wb-members/src/steering/mod.rs
@@ -367,6 +367,12 @@
         peers.map(|peer| peer.card.peers).collect()
     }
 
+    /// Addresses of other instances, as far as they are known.
+    pub fn addresses_of(&self, names: &[InstanceName]) -> Vec<SocketAddr> {
+        let known = names.iter().filter_map(|name| self.peers.get(name));
+        known.map(|peer| peer.card.peers).collect()
+    }
+
     /// Addresses of the other homes.
     pub fn home_peers(&self) -> Vec<SocketAddr> {
         let names = self.homes.iter().filter(|name| **name != self.own.name);
