--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -9,7 +9,9 @@
 mod finish;
 mod limits;
 mod offer;
+mod order;
 mod pick;
+mod repeats;
 mod update;
 mod wait;
 
@@ -18,6 +20,7 @@
 
 use strum::Display;
 use strum::IntoStaticStr;
+use wb_share::Parts;
 use wb_types::id::InstanceName;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
@@ -29,11 +32,18 @@
 use crate::Options;
 use crate::RetryBudget;
 use crate::closing::Closing;
+use crate::durations::Durations;
+use crate::durations::RouteKey;
 use crate::limit::Division;
 use crate::limit::Rate;
 use crate::limit::ServerLimit;
+use crate::lines::LineKey;
+use crate::lines::Lines;
 use crate::overload::Overload;
 use crate::pause::MissingServers;
+use crate::ranks::Ranks;
+use crate::shares::Flow;
+use crate::shares::Shares;
 
 pub use offer::RETRY_AFTER_MIN;
 pub use update::ListedServer;
@@ -123,6 +133,22 @@
     pub cause: RefusalCause,
     /// Time after which the caller may try again.
     pub retry_after: Duration,
+    /// Queued requests that would have got a slot before it.
+    pub ahead: usize,
+    /// Whether the team of the request has used what it is due of the retry budget.
+    pub over_share: bool,
+}
+
+impl Refusal {
+    /// A refusal for a cause that has nothing to do with other requests.
+    pub fn new(cause: RefusalCause, retry_after: Duration) -> Self {
+        Self {
+            cause,
+            retry_after,
+            ahead: 0,
+            over_share: false,
+        }
+    }
 }
 
 /// The decision on a request.
@@ -217,6 +243,10 @@
 struct Waiter {
     request: RequestInfo,
     since: Moment,
+    /// Queued requests that went before it when it came.
+    ahead: usize,
+    route: RouteKey,
+    line: LineKey,
 }
 
 /// A request that left the queue.
@@ -235,10 +265,9 @@
     servers: slotmap::SlotMap<ServerKey, ServerEntry>,
     keys: HashMap<ServerName, ServerKey>,
     queue: slotmap::SlotMap<WaitKey, Waiter>,
-    /// Moving average of the duration by route, in seconds.
-    route_durations: HashMap<wb_types::id::ServiceName, f64>,
-    /// Moving average of the duration over all routes, in seconds.
-    mean_duration: f64,
+    /// The teams that have queued requests.
+    lines: Lines,
+    durations: Durations,
     /// Share of the fleet's requests for this service that this instance handles, 0 to 1.
     share: f64,
     /// Moving average of the share of sends that fail, without trials.
@@ -251,8 +280,7 @@
     return_allowance: f64,
     /// When the evidence on suspects was last updated.
     decayed_at: Moment,
-    /// Highest priority seen so far; 0 is the highest possible.
-    top_priority: u8,
+    ranks: Ranks,
     retry_budget: RetryBudget,
     /// How servers' limits are divided among the instances.
     division: Division,
@@ -263,4 +291,11 @@
     /// Whether limits or pauses have reduced what this instance may send since the queue was last
     /// checked.
     limits_reduced: bool,
+    /// What each team has been served.
+    shares: Shares,
+    /// What each team has used of the retry budget.
+    repeat_parts: Parts<Flow>,
+    /// When a request first went before others in the queue since it was last checked whether they
+    /// still have time.
+    overtaken_since: Option<Moment>,
 }
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -123,8 +123,13 @@
 
     /// Whether a request has time for a trial and a further attempt.
     pub(super) fn has_trial_time(&self, request: &RequestInfo, now: Moment) -> bool {
-        let room = self.typical_duration(&request.route, request.target_latency) * TRIAL_DURATIONS;
-        now + room <= request.deadline
+        let typical = self.typical_duration(&request.route, request.target_latency);
+        Self::is_trial_time(request, typical, now)
+    }
+
+    /// The same for a request that usually takes `typical`.
+    pub(super) fn is_trial_time(request: &RequestInfo, typical: Duration, now: Moment) -> bool {
+        now + typical * TRIAL_DURATIONS <= request.deadline
     }
 
     /// The suspect whose trial has been due for longest, if the request may run again and has time
@@ -133,7 +138,7 @@
         // A trial that can't be retried would cost its request.
         let retry = self
             .retry_budget
-            .has_room(self.reserved_share(request), now);
+            .has_room(self.reserved_share(request, now), now);
         if !request.may_explore() || !self.has_trial_time(request, now) || !retry {
             return None;
         }
@@ -255,8 +260,15 @@
             .clamp(0.0, 1.0)
     }
 
-    /// Takes a slot at a server.
-    pub(super) fn assign(&mut self, key: ServerKey, now: Moment) -> Box<Assignment> {
+    /// Takes a slot at a server for a request.
+    pub(super) fn assign(
+        &mut self,
+        key: ServerKey,
+        request: &RequestInfo,
+        now: Moment,
+    ) -> Box<Assignment> {
+        let in_flight = self.own_running() + 1;
+        self.shares.charge(request, in_flight);
         let entry = &mut self.servers[key];
         entry.own_running += 1;
         entry.limit.take(now);
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -1,7 +1,8 @@
 //! Forwarding of callers' requests to backend servers.
 //!
 //! - [`routed`]: the route and deadline of a request.
-//! - [`allowance`]: the allowance of its caller's team.
+//! - `team`: the team of its caller.
+//! - [`allowance`]: the allowance of that team.
 //! - [`payload`]: its body.
 //! - [`forward`]: attempts, retries and hedged attempts.
 //! - [`slot`]: slots at backend servers.
@@ -37,6 +38,7 @@
 pub mod routed;
 pub mod slot;
 pub mod streamed;
+mod team;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -103,6 +105,7 @@
             let mut request = request;
             // Only instances may say that a request was passed on.
             Origin::take(request.headers_mut());
+            team::take_passed(request.headers_mut());
             let mut response = self.route(request, Origin::Caller).await;
             if self.0.is_leaving() {
                 let close = HeaderValue::from_static("close");
--- a/crates/wb-gateway/src/proxy/response.rs
+++ b/crates/wb-gateway/src/proxy/response.rs
@@ -152,6 +152,7 @@
             Event::Answered,
             request = self.routed.id,
             route = self.routed.route.name,
+            team = self.routed.team(),
             status = status.as_u16(),
             sends = attempts,
             took_ms = self.took().as_millis() as u64
@@ -175,7 +176,10 @@
             Event::Refused,
             request = self.routed.id,
             route = self.routed.route.name,
+            team = self.routed.team(),
             waiting = balancer.queued_count(),
+            ahead = refusal.ahead,
+            over_share = refusal.over_share,
             usable = balancer.usable_count(),
             suspects = balancer.suspect_count(),
             budget = balancer.retry_budget().remaining(now),
@@ -196,6 +200,7 @@
             Event::Failed,
             request = self.routed.id,
             route = self.routed.route.name,
+            team = self.routed.team(),
             reason = reason,
             sends = attempts,
             took_ms = self.took().as_millis() as u64
