balance: hedged attempts within a limit that operators set

A few slow answers make the highest percentiles; hedged attempts were bounded by the allowance for repeats alone, and started after constant multiples of the usual duration.

Each home keeps the distribution of each route (hdrhistogram, one to two generations of 30 s), and a credit that its own requests earn, so that the shares of all homes add up without a message. There are none until the quantile is known, while a request waits for a slot, while the service is slow as a whole (three quarters of its requests above their median), and where the median doesn't fit before the deadline. Services without a limit are served as before.

--- a/crates/wb-balance/src/balancer/access.rs
+++ b/crates/wb-balance/src/balancer/access.rs
@@ -10,6 +10,8 @@
 use super::Balancer;
 use super::ServerEntry;
 use super::ServerKey;
+use crate::HedgeLimit;
+use crate::Hedging;
 use crate::RetryBudget;
 use crate::limit::Rate;
 use crate::pause;
@@ -135,6 +137,16 @@
         &mut self.retry_budget
     }
 
+    /// Limits hedged sends; without a limit they are bounded by the retry budget alone.
+    pub fn limit_hedges(&mut self, limit: Option<HedgeLimit>) {
+        self.hedging = limit.map(Hedging::new);
+    }
+
+    /// Hedged sends within the operators' limit; `None` if they name none.
+    pub fn hedging(&mut self) -> Option<&mut Hedging> {
+        self.hedging.as_mut()
+    }
+
     /// Moving average of the duration of a route's requests; `None` until one was seen.
     pub(super) fn known_duration(&self, route: &str) -> Option<Duration> {
         let seconds = self.route_durations.get(route)?;
--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -40,6 +40,9 @@
     ) -> Option<EvidenceReport> {
         if let AttemptOutcome::Success(duration) | AttemptOutcome::Late(duration) = outcome {
             self.record_duration(key, route, duration);
+            if let Some(hedging) = &mut self.hedging {
+                hedging.record_duration(route, duration, now);
+            }
         }
         let entry = self.servers.get_mut(key)?;
         let failed = match outcome {
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -26,6 +26,7 @@
 
 use crate::Evidence;
 use crate::FailureDetector;
+use crate::Hedging;
 use crate::Options;
 use crate::RetryBudget;
 use crate::closing::Closing;
@@ -114,6 +115,10 @@
     Quarantined,
     /// This instance reaches no servers, as the one before that passed the request on.
     Unreachable,
+    /// The operators' limit on hedged sends is used up.
+    HedgeLimit,
+    /// The service is slow as a whole, so that a hedged send would not be faster.
+    ServiceSlow,
 }
 
 /// A refusal.
@@ -254,6 +259,8 @@
     /// Highest priority seen so far; 0 is the highest possible.
     top_priority: u8,
     retry_budget: RetryBudget,
+    /// Hedged sends within the operators' limit; `None` if they name none.
+    hedging: Option<Hedging>,
     /// How servers' limits are divided among the instances.
     division: Division,
     overload: Overload,
--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -32,6 +32,9 @@
     /// Decides on a new request from a caller.
     pub fn admit(&mut self, request: RequestInfo, now: Moment) -> Decision {
         self.retry_budget.record_request(now);
+        if let Some(hedging) = &mut self.hedging {
+            hedging.record_request(now);
+        }
         self.top_priority = self.top_priority.min(request.priority);
         let explorer = f64::from(u8::from(request.may_explore()));
         self.explorer_share += (explorer - self.explorer_share) * EXPLORER_ALPHA;
@@ -66,8 +69,11 @@
 
     /// Decides on a hedged send, a second one while the first takes long. It goes to a free slot that
     /// no queued request could use, or is refused, since the first response may arrive meanwhile.
-    /// Uses the retry budget only if it is sent.
+    /// Uses the retry budget and the operators' limit only if it is sent.
     pub fn hedge(&mut self, request: RequestInfo, now: Moment) -> Decision {
+        if let Some(cause) = self.hedge_limit(&request, now) {
+            return Self::refuse(cause, RETRY_AFTER_MIN);
+        }
         let fits = self.queued_ahead(&request) == 0 && !self.ends_before(&request, now);
         let key = fits
             .then(|| self.pick(&request, self.may_use_suspect(&request, now, now), now))
@@ -83,9 +89,29 @@
         if !self.retry_budget.try_spend(reserved, now) {
             return Self::refuse(RefusalCause::RetryBudget, RETRY_AFTER_MIN);
         }
+        if let Some(hedging) = &mut self.hedging {
+            hedging.spend();
+        }
         Decision::Send(self.assign(key, now))
     }
 
+    /// Why operators who limit hedged sends get none for a request now.
+    fn hedge_limit(&self, request: &RequestInfo, now: Moment) -> Option<RefusalCause> {
+        let hedging = self.hedging.as_ref()?;
+        let median = hedging.median(&request.route).unwrap_or_default();
+        if hedging.is_slow() {
+            Some(RefusalCause::ServiceSlow)
+        } else if !self.queue.is_empty() {
+            Some(RefusalCause::NoRoom)
+        } else if now + median > request.deadline {
+            Some(RefusalCause::Deadline)
+        } else if !hedging.has_room() {
+            Some(RefusalCause::HedgeLimit)
+        } else {
+            None
+        }
+    }
+
     /// Whether a request probably fails without a hedged send: the server that it was sent to is
     /// suspect, or there is just enough time left for another one.
     fn is_urgent(&self, request: &RequestInfo, now: Moment) -> bool {
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -56,6 +56,7 @@
             decayed_at: Moment::ZERO,
             top_priority: u8::MAX,
             retry_budget,
+            hedging: None,
             division: Division::default(),
             overload: Overload::default(),
             closing: None,
--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`pause`]: pauses that servers ask for.
 //! - [`retry`]: budget of retries and hedged sends.
 //! - [`hedge`]: when a second attempt starts while the first is in progress.
+//! - [`hedging`]: hedged attempts within a limit that operators set.
 //! - [`idle`]: how long a connection may have been idle and still be reused.
 //! - [`limit`]: request rates to which servers limit the fleet.
 //! - [`options`]: limits and cost weights, with their units.
@@ -17,6 +18,7 @@
 pub mod closing;
 pub mod detector;
 pub mod hedge;
+pub mod hedging;
 pub mod idle;
 pub mod limit;
 pub mod options;
@@ -36,6 +38,8 @@
 pub use balancer::WaitKey;
 pub use detector::Evidence;
 pub use detector::FailureDetector;
+pub use hedging::HedgeLimit;
+pub use hedging::Hedging;
 pub use idle::IdleLimits;
 pub use options::Options;
 pub use retry::RetryBudget;
--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -47,6 +47,10 @@
     CallerGone = 210,
     /// A request may crash the servers which run it, or was cleared of that.
     RequestSuspected = 211,
+    /// A hedged attempt was sent, while the first takes long.
+    Hedged = 216,
+    /// A request with a hedged attempt was answered, and the other attempt given up.
+    HedgeEnded = 217,
     /// The health state of a backend server changed.
     Health = 301,
     /// A backend server was not ejected, since the capacity left would be below the floor.
@@ -126,7 +130,13 @@
     pub fn is_routine(self) -> bool {
         matches!(
             self,
-            Self::Routed | Self::Answered | Self::Resolved | Self::Queued | Self::ConnectionError
+            Self::Routed
+                | Self::Answered
+                | Self::Resolved
+                | Self::Queued
+                | Self::Hedged
+                | Self::HedgeEnded
+                | Self::ConnectionError
         )
     }
 
--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub verdicts: Family<ServiceLabels, Counter>,
     /// Attempts at servers with a known limit.
     pub limited_attempts: Family<ServiceLabels, Counter>,
+    /// Hedged attempts within the operators' limits, by how they ended or why they were refused.
+    pub hedges: Family<ServiceLabels, Counter>,
     /// Servers with a known limit.
     pub limited_servers: Gauge,
     /// Requests whose server ended while it had them.
@@ -110,6 +112,7 @@
             attempts: Family::default(),
             verdicts: Family::default(),
             limited_attempts: Family::default(),
+            hedges: Family::default(),
             limited_servers: Gauge::default(),
             servers_ended: Counter::default(),
             requests_held: Gauge::default(),
@@ -153,6 +156,11 @@
             "Sends to backend servers that have named a limit",
             self.limited_attempts.clone(),
         );
+        registry.register(
+            "hedges",
+            "Hedged sends within the limits of operators",
+            self.hedges.clone(),
+        );
         registry.register(
             "limited_servers",
             "Backend servers that have named a limit",
--- a/crates/wb-gateway/src/proxy/forward.rs
+++ b/crates/wb-gateway/src/proxy/forward.rs
@@ -16,15 +16,13 @@
 use wb_balance::RequestInfo;
 use wb_balance::ServerKey;
 use wb_balance::balancer::RefusalCause;
-use wb_balance::hedge;
-use wb_balance::hedge::FirstAttempt;
 use wb_http::Body;
 use wb_quarantine::Standing;
 use wb_types::id::InstanceName;
-use wb_types::id::Moment;
 
 use super::attempt;
 use super::attempt::Outcome;
+use super::hedging::HedgeState;
 use super::payload::Payload;
 use super::peer;
 use super::response;
@@ -35,11 +33,6 @@
 use super::slot::AttemptKind;
 use crate::Context;
 
-/// Delay after which a hedged attempt that found no free slot is tried again, as a fraction of the
-/// typical latency: a slot becomes free about as often at a small service.
-const HEDGE_RETRY: u32 = 4;
-/// Shortest such delay.
-const HEDGE_RETRY_MIN: Duration = Duration::from_millis(20);
 /// Most attempts of a request that end without a byte sent: each takes up to half a second.
 const CONNECT_FAILURES_MAX: u32 = 4;
 
@@ -50,8 +43,8 @@
 /// attempt of its caller.
 const SINGLE_SEND_CRASHES: usize = 2;
 
-/// An attempt in progress.
-type AttemptFuture = Pin<Box<dyn Future<Output = Outcome> + Send>>;
+/// An attempt in progress, and its kind.
+type AttemptFuture = Pin<Box<dyn Future<Output = (AttemptKind, Outcome)> + Send>>;
 
 /// A request that is being forwarded, and its attempts so far.
 struct Forwarder<'a> {
@@ -72,8 +65,7 @@
     /// Response with a server error, which is passed on if no later attempt succeeds.
     server_error: Option<Response<Body>>,
     in_flight: FuturesUnordered<AttemptFuture>,
-    /// When a hedged attempt starts if none has before.
-    hedge_at: Option<Moment>,
+    hedge: HedgeState,
 }
 
 /// Forwards a request until it is answered, refused or failed.
@@ -96,7 +88,7 @@
         last_reason: "",
         server_error: None,
         in_flight: FuturesUnordered::new(),
-        hedge_at: None,
+        hedge: HedgeState::default(),
     };
     if let Err(refusal) = forwarder.send(AttemptKind::First).await {
         return forwarder.refused(&refusal, record);
@@ -110,11 +102,11 @@
                 continue;
             }
         };
-        let Some(outcome) = outcome else {
+        let Some((kind, outcome)) = outcome else {
             return forwarder.fail(record);
         };
         let kind = match forwarder.handle_outcome(outcome) {
-            Next::Respond(response) => return forwarder.answered(response, record),
+            Next::Respond(response) => return forwarder.answered(response, kind, record),
             Next::Retry(kind) => kind,
             Next::Wait => continue,
         };
@@ -174,10 +166,12 @@
         self.tried.push(slot.assignment.key);
         self.attempts += 1;
         if kind != AttemptKind::Hedge {
-            self.schedule_hedge(slot.assignment.trial);
+            let trial = slot.assignment.trial;
+            self.hedge.schedule(self.context, self.routed, trial);
         }
         let attempt = attempt::run(self.context.clone(), self.routed.clone(), slot, body);
-        self.in_flight.push(Box::pin(attempt));
+        self.in_flight
+            .push(Box::pin(async move { (kind, attempt.await) }));
         Ok(())
     }
 
@@ -221,31 +215,15 @@
         self.passed_to.push(peer.name.clone());
         let attempts = self.routed.attempts_max().saturating_sub(self.attempts);
         self.attempts += 1;
-        self.hedge_at = None;
+        self.hedge.cancel();
         let context = self.context.clone();
         let passing = peer::pass_on(context, self.routed.clone(), peer, attempts, body);
-        self.in_flight.push(Box::pin(passing));
+        let kind = AttemptKind::Reassign;
+        self.in_flight
+            .push(Box::pin(async move { (kind, passing.await) }));
         Ok(true)
     }
 
-    /// Schedules a hedged attempt after the first one was sent to the server of a slot.
-    fn schedule_hedge(&mut self, trial: bool) {
-        let now = self.context.now();
-        let route = &self.routed.route;
-        let delay = hedge::delay(FirstAttempt {
-            typical: self.typical_latency(),
-            trial,
-            until_target: (self.routed.arrived + route.target_latency).saturating_sub(now),
-            until_deadline: self.routed.deadline.saturating_sub(now),
-        });
-        self.hedge_at = Some(now + delay);
-    }
-
-    fn typical_latency(&self) -> Duration {
-        self.routed
-            .latency_threshold(self.context, 1, Duration::ZERO)
-    }
-
     /// Time until a hedged attempt starts; `None` if the request may not be hedged.
     fn until_hedge(&self) -> Option<Duration> {
         let route = &self.routed.route;
@@ -253,17 +231,18 @@
         let unsuspected = self.routed.standing(self.context) == Standing::Clear;
         let allowed =
             route.repeat.is_idempotent() && room && self.payload.is_available() && unsuspected;
-        let at = self.hedge_at.filter(|_| allowed)?;
+        let at = self.hedge.at().filter(|_| allowed)?;
         Some(at.saturating_sub(self.context.now()))
     }
 
     /// Starts a hedged attempt. If it is refused, the first goes on alone, and the hedged one is
     /// tried again later.
     async fn hedge(&mut self) {
-        self.hedge_at = None;
-        if self.send(AttemptKind::Hedge).await.is_err() {
-            let pause = self.typical_latency() / HEDGE_RETRY;
-            self.hedge_at = Some(self.context.now() + pause.max(HEDGE_RETRY_MIN));
+        let (context, routed) = (self.context, self.routed);
+        self.hedge.start(context, routed);
+        match self.send(AttemptKind::Hedge).await {
+            Ok(()) => self.hedge.sent(context, routed),
+            Err(refusal) => self.hedge.refused(context, routed, &refusal),
         }
     }
 
@@ -315,7 +294,13 @@
         safe && harmless && room && time && self.payload.is_available() && self.in_flight.is_empty()
     }
 
-    fn answered(&self, response: Response<Body>, record: &mut RequestRecord) -> Response<Body> {
+    fn answered(
+        &self,
+        response: Response<Body>,
+        kind: AttemptKind,
+        record: &mut RequestRecord,
+    ) -> Response<Body> {
+        self.hedge.answered(self.context, self.routed, kind);
         record.answered(response.status(), self.attempts);
         response
     }
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -3,6 +3,7 @@
 //! - [`routed`]: the route and deadline of a request.
 //! - [`payload`]: its body.
 //! - [`forward`]: attempts, retries and hedged attempts.
+//! - `hedging`: the hedged attempt of a request.
 //! - [`slot`]: slots at backend servers.
 //! - [`attempt`]: one attempt at one server.
 //! - `checked`: the check of a response.
@@ -24,6 +25,7 @@
 pub mod claim;
 pub mod crash;
 pub mod forward;
+mod hedging;
 pub mod leaving;
 pub mod limit;
 pub mod path;
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 use wb_balance::Assignment;
 use wb_balance::Balancer;
+use wb_balance::HedgeLimit;
 use wb_balance::IdleLimits;
 use wb_balance::ListedServer;
 use wb_balance::Options;
@@ -123,6 +124,11 @@
         let settings = &context.settings;
         self.services.entry(name.clone()).or_insert_with(|| {
             let mut service = Service::new(&settings.card.domain, &settings.bounds);
+            let limit = settings.options.hedges.limit(name);
+            service.balancer.limit_hedges(limit.map(|limit| HedgeLimit {
+                share: limit.share,
+                quantile: limit.quantile,
+            }));
             if let Some(closing) = context.closing() {
                 service.balancer.close(closing);
             }
--- a/crates/wb-gateway/src/settings.rs
+++ b/crates/wb-gateway/src/settings.rs
@@ -6,6 +6,7 @@
 
 use serde::Serialize;
 use wb_members::steering::Card;
+use wb_settings::gateway::Options;
 
 /// Addresses that the daemon listens on.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -58,4 +59,6 @@
     pub buffers: usize,
     /// Local address of connections to backend servers; the system chooses it if it is `None`.
     pub source: Option<IpAddr>,
+    /// Options of operators.
+    pub options: Options,
 }
--- a/crates/wb-settings/src/lib.rs
+++ b/crates/wb-settings/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! - [`read`]: reader of sections and values that collects findings with their positions.
 //! - [`entry`]: settings of the entry daemon.
+//! - [`gateway`]: options of the gateway daemon.
 
 pub mod entry;
+pub mod gateway;
 pub mod read;
 
 pub use entry::Settings;
--- a/crates/wb-settings/src/read/section.rs
+++ b/crates/wb-settings/src/read/section.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt::Display;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -51,6 +52,65 @@
         value
     }
 
+    /// Reads an optional nested mapping. A malformed one is a finding.
+    pub fn section_or<T>(
+        &mut self,
+        key: &'static str,
+        read: impl FnOnce(&mut Section<'_>) -> Option<T>,
+        default: T,
+    ) -> Option<T> {
+        if self.has(key) {
+            self.section(key, read)
+        } else {
+            Some(default)
+        }
+    }
+
+    /// Reads an optional mapping of names to nested mappings. Malformed ones are findings.
+    pub fn sections<T>(
+        &mut self,
+        key: &'static str,
+        read: impl Fn(&mut Section<'_>) -> Option<T>,
+    ) -> Option<Vec<(String, T)>> {
+        let Some(node) = self.optional(key) else {
+            return Some(Vec::new());
+        };
+        let Node::Mapping(mapping) = node else {
+            self.report(node, format!("`{key}` must be a mapping"));
+            return None;
+        };
+        let mut values = Vec::new();
+        for (name, node) in mapping.iter() {
+            let Node::Mapping(mapping) = node else {
+                self.report(node, format!("`{}` must be a mapping", name.as_str()));
+                continue;
+            };
+            let mut section = Section::new(self.file, mapping, self.findings);
+            let value = read(&mut section);
+            section.finish();
+            values.push(value.map(|value| (name.as_str().to_owned(), value)));
+        }
+        values.into_iter().collect()
+    }
+
+    /// Whether a key is present.
+    pub fn has(&self, key: &str) -> bool {
+        self.mapping.get_node(key).is_some()
+    }
+
+    /// Adds a finding if a value is outside a range.
+    pub fn check_range(
+        &mut self,
+        key: &'static str,
+        value: Option<f64>,
+        range: &RangeInclusive<f64>,
+    ) {
+        if value.is_some_and(|value| !range.contains(&value)) {
+            let text = format!("must be from {} to {}", range.start(), range.end());
+            self.add_finding(key, &text);
+        }
+    }
+
     /// Reads a required value. A missing or malformed one is a finding.
     pub fn value<T>(&mut self, key: &'static str) -> Option<T>
     where
