--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -63,6 +63,7 @@
             decayed_at: Moment::ZERO,
             ranks: Ranks::new(window),
             retry_budget,
+            hedging: None,
             division: Division::default(),
             overload: Overload::default(),
             closing: None,
--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -51,6 +51,10 @@
     AllowanceExceeded = 212,
     /// A request was refused, since this instance can't tell whether its team is over its allowance.
     AllowanceUnknown = 213,
+    /// A hedged attempt was sent, while the first takes long.
+    Hedged = 216,
+    /// A request with a hedged attempt was answered, and the other attempt given up.
+    HedgeEnded = 217,
     /// The health state of a backend server changed.
     Health = 301,
     /// A backend server was not ejected, since the capacity left would be below the floor.
@@ -143,6 +147,8 @@
                 | Self::ConnectionError
                 | Self::AllowanceExceeded
                 | Self::AllowanceUnknown
+                | Self::Hedged
+                | Self::HedgeEnded
         )
     }
 
--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     /// Repeats and hedged sends that were refused, since the team of the request has used what it is
     /// due.
     pub share_refusals: Family<ServiceLabels, Counter>,
+    /// Hedged attempts within the operators' limits, by how they ended or why they were refused.
+    pub hedges: Family<ServiceLabels, Counter>,
     /// Servers with a known limit.
     pub limited_servers: Gauge,
     /// Requests whose server ended while it had them.
@@ -118,6 +120,7 @@
             verdicts: Family::default(),
             limited_attempts: Family::default(),
             share_refusals: Family::default(),
+            hedges: Family::default(),
             limited_servers: Gauge::default(),
             servers_ended: Counter::default(),
             requests_held: Gauge::default(),
@@ -167,6 +170,11 @@
             "Repeats refused since the team of the request has used what it is due",
             self.share_refusals.clone(),
         );
+        registry.register(
+            "hedges",
+            "Hedged sends within the limits of operators",
+            self.hedges.clone(),
+        );
         registry.register(
             "limited_servers",
             "Backend servers that have named a limit",
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 //! - [`allowance`]: the allowance of that team.
 //! - [`payload`]: its body.
 //! - [`forward`]: attempts, retries and hedged attempts.
+//! - `hedging`: the hedged attempt of a request.
 //! - [`slot`]: slots at backend servers.
 //! - [`attempt`]: one attempt at one server.
 //! - `checked`: the check of a response.
@@ -27,6 +28,7 @@
 pub mod claim;
 pub mod crash;
 pub mod forward;
+mod hedging;
 pub mod leaving;
 pub mod limit;
 pub mod path;
--- a/crates/wb-gateway/src/settings.rs
+++ b/crates/wb-gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use wb_allowance::Tolerance;
 use wb_members::steering::Card;
+use wb_settings::gateway::Options;
 
 /// Addresses that the daemon listens on.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -63,4 +64,6 @@
     pub first_start: bool,
     /// Local address of connections to backend servers; the system chooses it if it is `None`.
     pub source: Option<IpAddr>,
+    /// Options of operators.
+    pub options: Options,
 }
