allowance: homes ask for equally many parts

Cause: a home took instances up to the share rounded up, so that the last ones got fewer: 5 of 88 over 12 homes, where 7 or 8 are due (seen in examples/slopes). Change: as many homes get one more as there are instances left over. The example measures the slopes of docs/CAPACITY.md. Result: tests/assignment.rs; of 103 instances, 6 change their home when one of 12 homes goes.

--- a/crates/wb-allowance/src/assignment.rs
+++ b/crates/wb-allowance/src/assignment.rs
@@ -16,18 +16,25 @@
     homes: &[InstanceName],
     members: &[InstanceName],
 ) -> Vec<InstanceName> {
+    if homes.is_empty() {
+        return Vec::new();
+    }
     let others = members_in_order(homes, members);
-    let share = others.len().div_ceil(homes.len().max(1));
+    let share = others.len() / homes.len();
+    let mut larger_shares = others.len() % homes.len();
     let mut counts: BTreeMap<&InstanceName, usize> = BTreeMap::new();
     let mut assigned = Vec::new();
     for member in others {
+        let most = share + usize::from(larger_shares > 0);
         let open = homes
             .iter()
-            .filter(|home| counts.get(home).is_none_or(|count| *count < share));
+            .filter(|home| counts.get(home).is_none_or(|count| *count < most));
         let Some(chosen) = open.max_by_key(|home| rendezvous::weight(member, home)) else {
             continue;
         };
-        *counts.entry(chosen).or_default() += 1;
+        let count = counts.entry(chosen).or_default();
+        *count += 1;
+        larger_shares -= usize::from(*count > share);
         if chosen == home {
             assigned.push(member.clone());
         }
