gateway: responses are not held back by the share of their team

Cause: an error response that finds no memory counts as evidence against its server. A team that holds more than its part would have made servers suspect. Change: responses count as memory of the team, but take any that is free. The clocks count their requests in flight instead of searching for them. Result: tests/buffers.rs 4 green; the new one is red if responses are reserved as requests are. All of wb-balance and wb-gateway green.

--- a/crates/wb-balance/src/shares.rs
+++ b/crates/wb-balance/src/shares.rs
@@ -23,10 +23,18 @@
 /// A flow: a team; `None` for the requests on public routes, which are one flow.
 pub type Flow = Option<TeamName>;
 
+/// The clock of one priority.
+#[derive(Clone, Debug, Default)]
+struct RankClock {
+    clock: FairClock<Flow>,
+    /// Requests of the priority that probably are in flight.
+    running: usize,
+}
+
 /// The clocks of a service, by priority.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
-    clocks: BTreeMap<u8, FairClock<Flow>>,
+    clocks: BTreeMap<u8, RankClock>,
     /// Priorities of the requests that probably are in flight, oldest first: as many of the newest
     /// as there are.
     running: VecDeque<u8>,
@@ -60,9 +68,9 @@
 
     /// Tag of the request of a team that would be served next. The team with the lowest is next.
     pub fn tag(&self, priority: u8, flow: &Flow, weight: f64) -> f64 {
-        let clock = self.clocks.get(&priority);
+        let rank = self.clocks.get(&priority);
         let credit = CREDIT / weight;
-        clock.map_or(-credit, |clock| clock.start_early(flow, credit))
+        rank.map_or(-credit, |rank| rank.clock.start_early(flow, credit))
     }
 
     /// The same for the team of a request that has none queued.
@@ -77,11 +85,13 @@
             return;
         }
         let weight = self.weight(request);
-        let clock = self.clocks.entry(request.priority).or_default();
+        let rank = self.clocks.entry(request.priority).or_default();
+        let clock = &mut rank.clock;
         let flow = flow(request);
         let tag = clock.start_early(&flow, CREDIT / weight);
         clock.set_tag(&flow, tag);
         clock.charge(&flow, 1.0, weight);
+        rank.running += 1;
         self.running.push_back(request.priority);
         self.advance(in_flight);
     }
@@ -89,8 +99,8 @@
     /// Takes back the charge for a slot that was not used.
     pub fn refund(&mut self, request: &RequestInfo) {
         let weight = self.weight(request);
-        if let Some(clock) = self.clocks.get_mut(&request.priority) {
-            clock.refund(&flow(request), 1.0, weight);
+        if let Some(rank) = self.clocks.get_mut(&request.priority) {
+            rank.clock.refund(&flow(request), 1.0, weight);
         }
     }
 
@@ -98,18 +108,21 @@
     /// more than others while there was room for all are not held back for it.
     pub fn advance(&mut self, in_flight: usize) {
         while self.running.len() > in_flight.max(1) {
-            self.running.pop_front();
+            let ended = self.running.pop_front();
+            if let Some(rank) = ended.and_then(|priority| self.clocks.get_mut(&priority)) {
+                rank.running -= 1;
+            }
         }
-        for (priority, clock) in &mut self.clocks {
-            let running = self.running.iter().filter(|of| *of == priority);
-            clock.advance(running.count());
-            clock.forget_idle();
+        for rank in self.clocks.values_mut() {
+            rank.clock.advance(rank.running);
+            rank.clock.forget_idle();
         }
     }
 
     /// Number of teams of which something is remembered, in all priorities.
     pub fn flow_count(&self) -> usize {
-        self.clocks.values().map(FairClock::flow_count).sum()
+        let ranks = self.clocks.values();
+        ranks.map(|rank| rank.clock.flow_count()).sum()
     }
 }
 
--- a/crates/wb-gateway/src/proxy/buffers.rs
+++ b/crates/wb-gateway/src/proxy/buffers.rs
@@ -40,6 +40,8 @@
     buffers: Arc<Buffers>,
     size: usize,
     share: Option<TeamShare>,
+    /// Whether it takes no more than the team may.
+    limited: bool,
 }
 
 /// A buffered body, or the start of one, and the memory that it takes until it has been passed on.
@@ -116,9 +118,18 @@
             buffers: self.clone(),
             size: 0,
             share,
+            limited: true,
         }
     }
 
+    /// The same for a response, which is not held back: a server has made it, and an error that can't
+    /// be buffered counts against the server. It counts as memory of the team.
+    pub fn reserve_response(self: &Arc<Self>, share: Option<TeamShare>) -> Reservation {
+        let mut reservation = self.reserve(share);
+        reservation.limited = false;
+        reservation
+    }
+
     fn parts(&self) -> MutexGuard<'_, Parts<TeamName>> {
         self.parts.lock().expect("lock is not poisoned")
     }
@@ -143,6 +154,7 @@
         let buffers = &self.buffers;
         let share = self.share.as_ref();
         let left = share.map_or(0, |share| buffers.left_to_others(share, more));
+        let left = if self.limited { left } else { 0 };
         let take = |free: usize| free.checked_sub(more).filter(|free| *free >= left);
         let taken = buffers
             .free
--- a/crates/wb-gateway/src/proxy/checked.rs
+++ b/crates/wb-gateway/src/proxy/checked.rs
@@ -51,7 +51,7 @@
             return CheckedResponse::Invalid(error.to_owned());
         }
     }
-    let mut reservation = context.buffers.reserve(routed.team_share());
+    let mut reservation = context.buffers.reserve_response(routed.team_share());
     match read_prefix(&mut stream, &mut reservation).await {
         Ok(Prefix::Whole(data)) => {
             CheckedResponse::Buffered(Response::from_parts(parts, data), reservation)
--- a/crates/wb-gateway/tests/buffers.rs
+++ b/crates/wb-gateway/tests/buffers.rs
@@ -61,3 +61,14 @@
     let again = fill(&buffers, &share("hot", 1.0));
     assert!((49..=51).contains(&again.len()), "{} bodies", again.len());
 }
+
+#[test]
+fn response_of_a_hot_team_takes_any_free_memory() {
+    let buffers = Buffers::new(SIZE);
+    let mut small = buffers.reserve(share("small", 1.0));
+    assert!(small.grow(BODY));
+    let hot = share("hot", 1.0);
+    let _held = fill(&buffers, &hot);
+    assert!(!buffers.reserve(hot.clone()).grow(BODY));
+    assert!(buffers.reserve_response(hot).grow(BODY));
+}
