--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -47,6 +47,10 @@
     CallerGone = 210,
     /// A request may crash the servers which run it, or was cleared of that.
     RequestSuspected = 211,
+    /// A request was refused, since its team is over its allowance.
+    AllowanceExceeded = 212,
+    /// A request was refused, since this instance can't tell whether its team is over its allowance.
+    AllowanceUnknown = 213,
     /// The health state of a backend server changed.
     Health = 301,
     /// A backend server was not ejected, since the capacity left would be below the floor.
@@ -89,6 +93,8 @@
     PeerSilent = 407,
     /// A datagram to another instance could not be sent.
     PacketUnsent = 408,
+    /// This instance holds the parts of allowances of more or fewer instances.
+    LeasesChanged = 409,
     /// A newer version of the policy table is in force.
     TableApplied = 501,
     /// An edit of the policy table was accepted or refused, or its outcome is unknown.
@@ -101,6 +107,10 @@
     RoutesApplied = 505,
     /// The platform's store is in another era: it came back from an older copy.
     PlatformRestored = 506,
+    /// A version of the routes that names teams is in force.
+    TeamsApplied = 507,
+    /// The routes of another instance were not applied, since it doesn't say whether there are teams.
+    TeamsUntold = 508,
     /// The outcome of a ticket's request was settled.
     TicketSettled = 601,
     /// Tickets were moved from a leaving instance to another.
@@ -126,7 +136,13 @@
     pub fn is_routine(self) -> bool {
         matches!(
             self,
-            Self::Routed | Self::Answered | Self::Resolved | Self::Queued | Self::ConnectionError
+            Self::Routed
+                | Self::Answered
+                | Self::Resolved
+                | Self::Queued
+                | Self::ConnectionError
+                | Self::AllowanceExceeded
+                | Self::AllowanceUnknown
         )
     }
 
--- a/crates/wb-gateway/src/context.rs
+++ b/crates/wb-gateway/src/context.rs
@@ -8,10 +8,13 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use wb_allowance::Ledger;
+use wb_allowance::ledger::Identity;
 use wb_balance::closing::Closing;
 use wb_http::Pool;
 use wb_http::pool::Connector;
@@ -27,6 +30,7 @@
 use wb_types::id::ServiceName;
 use wb_types::id::TableVersion;
 
+use crate::clock;
 use crate::metrics::Metrics;
 use crate::peers::Packet;
 use crate::platform::Catalog;
@@ -48,6 +52,10 @@
     pub era: Option<Era>,
     /// Peer address of an instance that has announced newer routes, and their version.
     pub newer_peer: Option<(SocketAddr, TableVersion)>,
+    /// Highest version of the routes that another instance has announced, and when it last did.
+    pub announced_routes: Option<(TableVersion, Moment)>,
+    /// When the routes in use came into force.
+    pub routes_since: Moment,
     /// Versions up to which no change of the routes is missing.
     pub routes_coverage: Coverage,
     /// When the routes were last confirmed as the newest.
@@ -64,6 +72,23 @@
     pub quarantine: Quarantine,
     /// Whether this instance reaches the servers.
     pub reach: Reach,
+    /// Allowances of the teams.
+    pub allowances: Ledger,
+    /// Whether the other instances have been read, from the platform or a seed.
+    pub members_read: bool,
+}
+
+/// Time for which an announcement of newer routes counts: that of a few heartbeats.
+const ANNOUNCEMENT_LIFE: Duration = Duration::from_secs(1);
+
+impl State {
+    /// Whether another instance has newer routes, as it has announced a moment ago.
+    pub fn has_older_routes(&self, now: Moment) -> bool {
+        let own = self.routes.as_ref().map_or(0, |routes| routes.version);
+        self.announced_routes.is_some_and(|(version, at)| {
+            version > own && now.saturating_sub(at) < ANNOUNCEMENT_LIFE
+        })
+    }
 }
 
 /// State shared by all parts of the daemon.
@@ -100,6 +125,8 @@
     pub queue_wakeup: Notify,
     /// Wakes the task that finds out when this instance reaches the servers again.
     pub path_wakeup: Notify,
+    /// Wakes the requests that wait for tokens of their team's allowance.
+    pub allowance_wakeup: Notify,
     state: Mutex<State>,
     leaving: AtomicBool,
     closing: AtomicBool,
@@ -138,6 +165,8 @@
             read_version: 0,
             era: None,
             newer_peer: None,
+            announced_routes: None,
+            routes_since: Moment::ZERO,
             routes_coverage: Coverage::default(),
             routes_confirmed: Moment::ZERO,
             listing: Listing::new(times.proof),
@@ -146,6 +175,8 @@
             services: HashMap::new(),
             quarantine: Quarantine::default(),
             reach: Reach::new(wb_members::reach::Options::default()),
+            allowances: new_ledger(&parts.settings),
+            members_read: false,
         };
         Self {
             pool: Pool::with_connector(crate::proxy::attempt::POOL_OPTIONS, parts.connector),
@@ -164,6 +195,7 @@
             rejoin: Notify::new(),
             queue_wakeup: Notify::new(),
             path_wakeup: Notify::new(),
+            allowance_wakeup: Notify::new(),
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -251,3 +283,12 @@
         }
     }
 }
+
+fn new_ledger(settings: &Settings) -> Ledger {
+    let identity = Identity {
+        name: settings.card.name.clone(),
+        incarnation: settings.card.incarnation,
+        first_start: settings.first_start,
+    };
+    Ledger::new(identity, settings.bounds.tolerance, clock::boot_time())
+}
--- a/crates/wb-gateway/src/follow/routes.rs
+++ b/crates/wb-gateway/src/follow/routes.rs
@@ -16,6 +16,7 @@
 use super::log_errors;
 use crate::Context;
 use crate::context::State;
+use crate::peers::allowance;
 use crate::peers::snapshot;
 use crate::platform::Error;
 use crate::platform::Routes;
@@ -199,9 +200,20 @@
         routes = table.len(),
         source = source
     );
+    if !table.teams.is_empty() {
+        line!(
+            Event::TeamsApplied,
+            version = table.version,
+            teams = table.teams.team_count(),
+            keys = table.teams.key_count(),
+            public = table.teams.public_route_count()
+        );
+    }
     context.metrics.routes_version.set(table.version as i64);
     let first = state.routes.is_none();
     state.routes = Some(Arc::new(table));
+    state.routes_since = now;
+    allowance::apply_teams(state);
     if first {
         line!(Event::Ready, servers = state.listing.entries().len());
     }
@@ -221,15 +233,16 @@
 
 /// Reads and applies a snapshot of another instance. Returns whether the instance answered.
 async fn sync_from(context: &Context, address: SocketAddr) -> bool {
-    let Some(snapshot) = snapshot::fetch(context, address).await else {
+    let Some(mut snapshot) = snapshot::fetch(context, address).await else {
         return false;
     };
+    let routes = snapshot.take_routes(address);
     let now = context.now();
     let mut state = context.state();
     for card in snapshot.cards {
         state.steering.add_peer(card, now);
     }
-    if let Some(table) = snapshot.routes {
+    if let Some(table) = routes {
         apply(context, &mut state, table, "peer");
     }
     let behind = snapshot.read_version > state.listing.read_version();
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -15,6 +15,7 @@
 use wb_types::id::ServiceName;
 
 use super::Packet;
+use super::allowance;
 use super::heartbeat;
 use super::leaving;
 use super::limits;
@@ -52,6 +53,12 @@
             heartbeat::update_homes(context, &mut state);
         }
         Packet::CrashReports { from, reports } => quarantine::handle(context, &from, &reports),
+        Packet::AllowanceOffer(offer) => allowance::handle_offer(context, &offer, peer),
+        Packet::AllowanceLease(lease) => allowance::handle_lease(context, &lease),
+        Packet::AllowanceQuestion(question) => {
+            allowance::handle_question(context, &question, peer);
+        }
+        Packet::AllowanceGrant(grant) => allowance::handle_grant(context, &grant),
         Packet::PlatformEra { era } => {
             // The era counts only once the platform itself has answered in it.
             if context.state().era < Some(era) {
@@ -115,7 +122,10 @@
     let routes = state.routes.as_ref().map_or(0, |routes| routes.version);
     if heartbeat.routes_version > routes {
         state.newer_peer = Some((peer, heartbeat.routes_version));
+        state.announced_routes = Some((heartbeat.routes_version, now));
         context.routes_wakeup.notify_one();
+    } else if heartbeat.routes_version < routes {
+        heartbeat::tell_routes(context, &state, peer);
     }
     let announced = Announcement {
         version: heartbeat.listing_version,
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -1,6 +1,8 @@
 //! Forwarding of callers' requests to backend servers.
 //!
 //! - [`routed`]: the route and deadline of a request.
+//! - `team`: the team of its caller.
+//! - [`allowance`]: the allowance of that team.
 //! - [`payload`]: its body.
 //! - [`forward`]: attempts, retries and hedged attempts.
 //! - [`slot`]: slots at backend servers.
@@ -18,6 +20,7 @@
 //! - [`response`]: responses of the daemon itself, and the log lines and metrics of a finished
 //!   request.
 
+pub mod allowance;
 pub mod attempt;
 pub mod buffers;
 mod checked;
@@ -35,6 +38,7 @@
 pub mod routed;
 pub mod slot;
 pub mod streamed;
+mod team;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -72,6 +76,13 @@
             Err(rejection) => return response::reject(context, None, id.as_deref(), &rejection),
         };
         let mut record = RequestRecord::new(context.clone(), routed.clone());
+        match allowance::admit(context, &routed).await {
+            Ok(token) => record.set_token(token),
+            Err(rejection) => {
+                record.end("refused", rejection.reason);
+                return response::reject(context, Some(&routed), None, &rejection);
+            }
+        }
         let payload = match Payload::read(&routed, &context.buffers, body).await {
             Ok(payload) => payload,
             Err(rejection) => {
@@ -94,6 +105,7 @@
             let mut request = request;
             // Only instances may say that a request was passed on.
             Origin::take(request.headers_mut());
+            team::take_passed(request.headers_mut());
             let mut response = self.route(request, Origin::Caller).await;
             if self.0.is_leaving() {
                 let close = HeaderValue::from_static("close");
