allowance: a restarted fleet has its credit at once, and parts after half a second

A process waited for a lease of a second before it gave anything, and the credit came with the lease. Change: the credit of a start comes with the first reply to an offer, whether the part may be leased or not. Offers come every 150 ms, and more rarely in fleets of more than 107 instances; leases last as long as the offer says.

--- a/crates/wb-allowance/examples/slopes.rs
+++ b/crates/wb-allowance/examples/slopes.rs
@@ -71,6 +71,8 @@
                 incarnation: 1,
                 holder: 1,
                 sent: START + Duration::from_millis(u64::from(round)),
+                lasts: wb_allowance::lease_time(100),
+                is_leased: true,
                 part: 0.001 + f64::from(round) * 0.000_1,
                 credit: Credit::None,
             };
--- a/crates/wb-allowance/src/bucket.rs
+++ b/crates/wb-allowance/src/bucket.rs
@@ -10,6 +10,9 @@
 const DEMAND_TIME: Duration = Duration::from_secs(1);
 /// Time for which tokens that were lent or given back stay above the capacity.
 const SURPLUS_TIME: Duration = Duration::from_millis(500);
+/// Time for which tokens that come with the start of a process may exceed the capacity: its part comes
+/// within the duration of a lease.
+const CREDIT_TIME: Duration = Duration::from_secs(2);
 /// Shortest delay that callers are told.
 const RETRY_MIN: Duration = Duration::from_millis(50);
 /// Longest delay that callers are told.
@@ -101,11 +104,18 @@
         self.level = (self.level + tokens).min(ceiling);
     }
 
+    /// Adds tokens that come with the start of a process, perhaps before its part does.
+    pub fn add_credit(&mut self, tokens: f64, holding: Holding) {
+        self.settle(holding);
+        self.level += tokens;
+        self.surplus_until = self.surplus_until.max(holding.now + CREDIT_TIME);
+    }
+
     /// Adds tokens that were lent. For a moment they may exceed the capacity.
     pub fn add_loan(&mut self, tokens: f64, holding: Holding) {
         self.settle(holding);
         self.level += tokens;
-        self.surplus_until = holding.now + SURPLUS_TIME;
+        self.surplus_until = self.surplus_until.max(holding.now + SURPLUS_TIME);
     }
 
     /// Gives the token of a request back that was not executed.
--- a/crates/wb-allowance/src/ledger.rs
+++ b/crates/wb-allowance/src/ledger.rs
@@ -12,7 +12,6 @@
 
 use crate::Credit;
 use crate::Grant;
-use crate::LEASE_TIME;
 use crate::Lease;
 use crate::Limit;
 use crate::Offer;
@@ -25,6 +24,7 @@
 use crate::account::WAIT_TIME;
 use crate::assignment;
 use crate::bucket::Holding;
+use crate::lease_time;
 use crate::leases::Leases;
 use crate::loan::Questions;
 use crate::owner::Owner;
@@ -228,16 +228,24 @@
         let keeps = self.is_home() || self.owner.is_forgotten(now);
         if self.is_active() && keeps {
             let incarnation = self.identity.incarnation;
-            if let Some(credit) = self.owner.keep(incarnation, now) {
-                let name = self.identity.name.clone();
-                let part = self.owner.part();
-                self.hold(&name, incarnation, part, now + LEASE_TIME, credit, now);
+            let name = self.identity.name.clone();
+            let part = self.owner.part();
+            match self.owner.keep(incarnation, now) {
+                Some(credit) => {
+                    self.hold(&name, part, now + self.lease_time(), now);
+                    self.take_credit(&name, incarnation, part, credit, now);
+                }
+                None => {
+                    let credit = self.owner.early_credit(incarnation, now);
+                    self.take_credit(&name, incarnation, part, credit, now);
+                }
             }
         }
         let offer = Offer {
             from: self.identity.name.clone(),
             incarnation: self.identity.incarnation,
             sent: now,
+            lasts: self.lease_time(),
         };
         let targets: &[InstanceName] = if self.is_active() {
             &self.assigned
@@ -258,20 +266,22 @@
             self.leases.remove(&self.identity.name);
             self.settle(now);
         }
-        let credit = self.owner.lease(offer, now)?;
+        let (credit, is_leased) = self.owner.lease(offer, now)?;
         Some(Lease {
             from: self.identity.name.clone(),
             incarnation: self.identity.incarnation,
             holder: offer.incarnation,
             sent: offer.sent,
+            lasts: offer.lasts,
             part: self.owner.part(),
+            is_leased,
             credit,
         })
     }
 
     /// Handles a lease of another instance. Returns whether its part is new here.
     pub fn handle_lease(&mut self, lease: &Lease, now: Moment) -> bool {
-        let until = lease.sent + LEASE_TIME;
+        let until = lease.sent + lease.lasts;
         if lease.holder != self.identity.incarnation || until <= now || lease.sent > now {
             return false;
         }
@@ -279,31 +289,35 @@
         let before = self.leases.count();
         // No instance owns more than an equal part of those that are known here.
         let part = lease.part.clamp(0.0, self.owner.part());
-        self.hold(
-            &lease.from,
-            lease.incarnation,
-            part,
-            until,
-            lease.credit,
-            now,
-        );
+        if lease.is_leased {
+            self.hold(&lease.from, part, until, now);
+        }
+        self.take_credit(&lease.from, lease.incarnation, part, lease.credit, now);
         self.leases.count() > before
     }
 
-    fn hold(
+    /// Duration of the leases that this home asks for.
+    fn lease_time(&self) -> Duration {
+        lease_time(self.members.len())
+    }
+
+    fn hold(&mut self, from: &InstanceName, part: f64, until: Moment, now: Moment) {
+        if !self.leases.renew(from, part, until) {
+            self.settle(now);
+            self.leases.insert(from.clone(), part, until);
+            self.settle(now);
+        }
+    }
+
+    /// Counts the tokens that come with a part, once for each process start of its owner.
+    fn take_credit(
         &mut self,
         from: &InstanceName,
         incarnation: Incarnation,
         part: f64,
-        until: Moment,
         credit: Credit,
         now: Moment,
     ) {
-        if !self.leases.renew(from, part, until) {
-            self.settle(now);
-            self.leases.insert(from.clone(), part, until);
-            self.settle(now);
-        }
         if credit != Credit::None
             && self.credited.insert(from.clone(), incarnation) != Some(incarnation)
         {
@@ -320,7 +334,7 @@
                 Credit::Start => limit.start,
                 Credit::Full => limit.capacity,
             };
-            account.bucket.credit(tokens * part, holding);
+            account.bucket.add_credit(tokens * part, holding);
         }
     }
 
--- a/crates/wb-allowance/src/lib.rs
+++ b/crates/wb-allowance/src/lib.rs
@@ -39,8 +39,31 @@
 
 use std::time::Duration;
 
-/// Duration of a lease at the home that holds it: three offers may be lost.
-pub const LEASE_TIME: Duration = Duration::from_millis(1000);
-/// Time for which an instance gives its part to nobody else after a lease: more than the duration of
-/// a lease, since clocks run at slightly different speeds.
-pub const HOLD_TIME: Duration = Duration::from_millis(1050);
+/// Shortest interval between the offers of a home.
+const INTERVAL_MIN: Duration = Duration::from_millis(150);
+/// Interval between the offers of a home for each instance of the fleet, so that the offers of all
+/// homes together don't grow with the fleet.
+const INTERVAL_PER_MEMBER: Duration = Duration::from_micros(1400);
+/// Duration of a lease in intervals, in tenths: three offers may be lost.
+const LEASE_TENTHS: u32 = 33;
+/// Time for which an instance gives its part to nobody else after a lease, relative to the lease:
+/// clocks run at slightly different speeds.
+const HOLD_FACTOR: f64 = 1.06;
+
+/// Interval between the offers of a home in a fleet of so many instances.
+pub fn offer_interval(members: usize) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    INTERVAL_PER_MEMBER
+        .saturating_mul(members)
+        .max(INTERVAL_MIN)
+}
+
+/// Duration of a lease at the home that holds it, in a fleet of so many instances.
+pub fn lease_time(members: usize) -> Duration {
+    offer_interval(members) * LEASE_TENTHS / 10
+}
+
+/// Time for which an instance gives its part to nobody else after a lease of this duration.
+pub fn hold_time(lease: Duration) -> Duration {
+    lease.mul_f64(HOLD_FACTOR)
+}
--- a/crates/wb-allowance/src/limit.rs
+++ b/crates/wb-allowance/src/limit.rs
@@ -22,7 +22,7 @@
 /// tokens that are lent, given back or given at a restart.
 const CAPACITY_SHARE: f64 = 0.5;
 /// Fraction of the tolerated excess that a restarted fleet starts with.
-const START_SHARE: f64 = 0.25;
+const START_SHARE: f64 = 0.33;
 
 /// Limit of a team over all instances.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/wb-allowance/src/message.rs
+++ b/crates/wb-allowance/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between instances. The order of variants and fields is part of the format.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 use wb_types::id::Incarnation;
@@ -16,6 +18,8 @@
     pub incarnation: Incarnation,
     /// Time of sending, by the sender's clock.
     pub sent: Moment,
+    /// Duration of the lease, from the time of sending.
+    pub lasts: Duration,
 }
 
 /// Tokens that come with a lease.
@@ -41,8 +45,13 @@
     pub holder: Incarnation,
     /// Time of the offer, by the home's clock. The lease runs from then.
     pub sent: Moment,
-    /// Part of every allowance, between 0 and 1.
+    /// Duration of the lease, as in the offer.
+    pub lasts: Duration,
+    /// Part of every allowance that the sender owns, between 0 and 1.
     pub part: f64,
+    /// Whether the part is leased. Otherwise a former process of the sender may still have leased it, and
+    /// only the tokens of the credit come.
+    pub is_leased: bool,
     /// Tokens that come with it, once for each process start of the sender.
     pub credit: Credit,
 }
--- a/crates/wb-allowance/src/owner.rs
+++ b/crates/wb-allowance/src/owner.rs
@@ -7,8 +7,9 @@
 use wb_types::id::Moment;
 
 use crate::Credit;
-use crate::HOLD_TIME;
 use crate::Offer;
+use crate::hold_time;
+use crate::lease_time;
 
 /// Time for which an instance that is gone still counts as the owner of a part: another one may not
 /// know yet that it is gone.
@@ -33,8 +34,10 @@
 #[derive(Clone, Debug)]
 pub struct Owner {
     name: InstanceName,
-    /// Before that, a former process of the instance may have leased the part.
-    free: Moment,
+    /// When the process started: for the duration of a lease, a former one may have leased the part.
+    started: Moment,
+    /// Whether no former process has leased the part.
+    first_start: bool,
     /// When the last offer arrived; the start before the first.
     heard: Moment,
     holder: Option<Holder>,
@@ -48,14 +51,15 @@
     /// The part of an instance whose process has just started. At the first start of the system, no
     /// former process has leased it.
     pub fn new(name: InstanceName, first_start: bool, now: Moment) -> Self {
-        let (free, credit) = if first_start {
-            (now, Credit::Full)
+        let credit = if first_start {
+            Credit::Full
         } else {
-            (now + HOLD_TIME, Credit::Start)
+            Credit::Start
         };
         Self {
             name,
-            free,
+            started: now,
+            first_start,
             heard: now,
             holder: None,
             first: None,
@@ -85,21 +89,34 @@
     fn is_free_for(&self, name: &str, now: Moment) -> bool {
         let holder = self.holder.as_ref();
         let held = holder.is_some_and(|holder| &*holder.name != name && holder.until > now);
-        now >= self.free && self.members.is_some() && !held
+        self.is_settled(now) && self.members.is_some() && !held
     }
 
-    /// Leases the part to the sender of an offer. Returns the tokens that come with it, or `None` if
-    /// another instance may still hold the part.
-    pub fn lease(&mut self, offer: &Offer, now: Moment) -> Option<Credit> {
+    /// Whether no former process of the instance may have leased the part.
+    fn is_settled(&self, now: Moment) -> bool {
+        self.first_start || now >= self.started + self.hold_time()
+    }
+
+    /// Time for which a lease may run, at the most.
+    fn hold_time(&self) -> Duration {
+        hold_time(lease_time(self.members.map_or(0, |peak| peak.count)))
+    }
+
+    /// Leases the part to the sender of an offer. Returns the tokens that come with it and whether the
+    /// part comes as well, or `None` if there is neither. The tokens don't wait until leases of a former
+    /// process have ended.
+    pub fn lease(&mut self, offer: &Offer, now: Moment) -> Option<(Credit, bool)> {
         self.heard = now;
         if self.is_own() {
             self.holder = None;
         }
-        if !self.is_free_for(&offer.from, now) {
-            return None;
+        let free = self.is_free_for(&offer.from, now);
+        if free {
+            self.hold(offer.from.clone(), now + hold_time(offer.lasts));
         }
-        self.hold(offer.from.clone(), now);
-        Some(self.credit_for(&offer.from, offer.incarnation))
+        let waits = !self.is_settled(now) && self.members.is_some();
+        let credit = (free || waits).then(|| self.credit_for(&offer.from, offer.incarnation))?;
+        (free || credit != Credit::None).then_some((credit, free))
     }
 
     /// Uses the part on this instance itself, if nobody else may hold it. Returns the tokens that
@@ -108,14 +125,23 @@
         if !self.is_free_for(&self.name, now) {
             return None;
         }
-        self.hold(self.name.clone(), now);
+        self.hold(self.name.clone(), now + self.hold_time());
         let name = self.name.clone();
         Some(self.credit_for(&name, incarnation))
     }
 
+    /// Returns the tokens that come with the own part while a former process may still have leased it.
+    pub fn early_credit(&mut self, incarnation: Incarnation, now: Moment) -> Credit {
+        if self.is_settled(now) || self.members.is_none() {
+            return Credit::None;
+        }
+        let name = self.name.clone();
+        self.credit_for(&name, incarnation)
+    }
+
     /// Whether no home has asked for the part for the duration of a lease.
     pub fn is_forgotten(&self, now: Moment) -> bool {
-        now.saturating_sub(self.heard) > HOLD_TIME
+        now.saturating_sub(self.heard) > self.hold_time()
     }
 
     /// Whether this instance itself holds the part.
@@ -124,8 +150,7 @@
         holder.is_some_and(|holder| holder.name == self.name)
     }
 
-    fn hold(&mut self, name: InstanceName, now: Moment) {
-        let until = now + HOLD_TIME;
+    fn hold(&mut self, name: InstanceName, until: Moment) {
         self.holder = Some(Holder { name, until });
     }
 
--- a/crates/wb-gateway/src/peers/allowance.rs
+++ b/crates/wb-gateway/src/peers/allowance.rs
@@ -19,8 +19,10 @@
 use crate::clock;
 use crate::context::State;
 
-/// Interval between the offers of a home: three may be lost until a lease ends.
-const OFFER_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval at which it is checked whether the routes and the other instances are known.
+const START_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which it is checked whether a team has an allowance.
+const IDLE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Gives the ledger the teams of the routes in force.
 pub fn apply_teams(state: &mut State) {
@@ -36,19 +38,24 @@
 pub async fn run(context: Arc<Context>) {
     let mut before = 0;
     loop {
-        tokio::time::sleep(OFFER_INTERVAL).await;
-        step(&context, &mut before);
+        let interval = step(&context, &mut before);
+        tokio::time::sleep(interval).await;
     }
 }
 
-/// Sends offers. `before` is the number of leases that was last logged.
-fn step(context: &Context, before: &mut usize) {
+/// Sends offers, and returns the time until the next ones. `before` is the number of leases that was
+/// last logged.
+fn step(context: &Context, before: &mut usize) -> Duration {
     let mut state = context.state();
-    if !state.allowances.is_active() || !state.members_read {
-        return;
+    if state.routes.is_none() || !state.members_read {
+        return START_INTERVAL;
+    }
+    if !state.allowances.is_active() {
+        return IDLE_INTERVAL;
     }
     let now = clock::boot_time();
     let members = member_names(&state);
+    let interval = wb_allowance::offer_interval(members.len());
     let homes = state.steering.homes().to_vec();
     state.allowances.set_fleet(members, &homes, now);
     let (offer, targets) = state.allowances.tick(now);
@@ -68,6 +75,7 @@
     context.metrics.allowances.part.set(part);
     let levels = state.allowances.levels(now);
     context.metrics.allowances.set_levels(levels);
+    interval
 }
 
 /// Names of all instances that have not left, in the same order each time.
