--- a/crates/wb-gateway/src/proxy/team.rs
+++ b/crates/wb-gateway/src/proxy/team.rs
@@ -77,8 +77,10 @@
 
 /// Removes a header, also where its name is spelt with underscores: to some servers that is the same.
 fn remove(headers: &mut HeaderMap, name: &HeaderName) {
-    let spelt = |other: &&HeaderName| other.as_str().replace('_', "-") == name.as_str();
-    let spellings: Vec<HeaderName> = headers.keys().filter(spelt).cloned().collect();
+    let dashed = |byte| if byte == b'_' { b'-' } else { byte };
+    let is_spelt =
+        |other: &&HeaderName| other.as_str().bytes().map(dashed).eq(name.as_str().bytes());
+    let spellings: Vec<HeaderName> = headers.keys().filter(is_spelt).cloned().collect();
     for spelling in spellings {
         headers.remove(spelling);
     }
