--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use wb_share::Parts;
 use wb_types::id::InstanceName;
 use wb_types::id::Moment;
 use wb_types::id::ServerName;
@@ -11,13 +12,18 @@
 
 use super::Balancer;
 use super::ServerEntry;
+use super::repeats::REPEAT_PATIENCE;
 use crate::FailureDetector;
 use crate::Options;
 use crate::RetryBudget;
+use crate::durations::Durations;
 use crate::limit::Division;
 use crate::limit::ServerLimit;
+use crate::lines::Lines;
 use crate::overload::Overload;
 use crate::pause::MissingServers;
+use crate::ranks::Ranks;
+use crate::shares::Shares;
 
 /// Failure rate that is assumed before any send: nothing is known of any server.
 const INITIAL_FAILURE_RATE: f64 = 0.15;
@@ -41,26 +47,31 @@
 impl Balancer {
     /// A balancer without servers.
     pub fn new(options: Options, retry_budget: RetryBudget) -> Self {
+        let window = retry_budget.window();
         Self {
             options,
             servers: slotmap::SlotMap::with_key(),
             keys: HashMap::new(),
             queue: slotmap::SlotMap::with_key(),
-            route_durations: HashMap::new(),
-            mean_duration: INITIAL_DURATION_SECS,
+            lines: Lines::default(),
+            durations: Durations::new(INITIAL_DURATION_SECS),
             share: 1.0,
             failure_rate: INITIAL_FAILURE_RATE,
             unserved_rate: 0.0,
             explorer_share: 0.0,
             return_allowance: 0.0,
             decayed_at: Moment::ZERO,
-            top_priority: u8::MAX,
+            ranks: Ranks::new(window),
             retry_budget,
+            hedging: None,
             division: Division::default(),
             overload: Overload::default(),
             closing: None,
             missing_servers: MissingServers::default(),
             limits_reduced: false,
+            shares: Shares::default(),
+            repeat_parts: Parts::fading(window, REPEAT_PATIENCE),
+            overtaken_since: None,
         }
     }
 
--- a/crates/wb-gateway/src/metrics.rs
+++ b/crates/wb-gateway/src/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
 
+use crate::allowance_metrics::AllowanceMetrics;
+
 /// Labels of finished requests.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct RequestLabels {
@@ -56,6 +58,11 @@
     pub verdicts: Family<ServiceLabels, Counter>,
     /// Attempts at servers with a known limit.
     pub limited_attempts: Family<ServiceLabels, Counter>,
+    /// Repeats and hedged sends that were refused, since the team of the request has used what it is
+    /// due.
+    pub share_refusals: Family<ServiceLabels, Counter>,
+    /// Hedged attempts within the operators' limits, by how they ended or why they were refused.
+    pub hedges: Family<ServiceLabels, Counter>,
     /// Servers with a known limit.
     pub limited_servers: Gauge,
     /// Requests whose server ended while it had them.
@@ -83,6 +90,8 @@
     pub packets_dropped: Counter,
     /// Log lines dropped and not yet reported by a log line.
     pub lines_dropped: Gauge,
+    /// Allowances of teams.
+    pub allowances: AllowanceMetrics,
 }
 
 /// Smallest bucket of the latency histograms, in seconds: about the time of one response from a
@@ -110,6 +119,8 @@
             attempts: Family::default(),
             verdicts: Family::default(),
             limited_attempts: Family::default(),
+            share_refusals: Family::default(),
+            hedges: Family::default(),
             limited_servers: Gauge::default(),
             servers_ended: Counter::default(),
             requests_held: Gauge::default(),
@@ -123,6 +134,7 @@
             routes_age: Gauge::default(),
             packets_dropped: Counter::default(),
             lines_dropped: Gauge::default(),
+            allowances: AllowanceMetrics::default(),
         };
         metrics.register()
     }
@@ -153,6 +165,16 @@
             "Sends to backend servers that have named a limit",
             self.limited_attempts.clone(),
         );
+        registry.register(
+            "share_refusals",
+            "Repeats refused since the team of the request has used what it is due",
+            self.share_refusals.clone(),
+        );
+        registry.register(
+            "hedges",
+            "Hedged sends within the limits of operators",
+            self.hedges.clone(),
+        );
         registry.register(
             "limited_servers",
             "Backend servers that have named a limit",
@@ -219,6 +241,7 @@
             "Log lines dropped",
             self.lines_dropped.clone(),
         );
+        self.allowances.register(&mut registry);
         self.registry = registry;
         self
     }
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! - [`routed`]: the route and deadline of a request.
 //! - `team`: the team of its caller.
+//! - [`allowance`]: the allowance of that team.
 //! - [`payload`]: its body.
 //! - [`forward`]: attempts, retries and hedged attempts.
+//! - `hedging`: the hedged attempt of a request.
 //! - [`slot`]: slots at backend servers.
 //! - [`attempt`]: one attempt at one server.
 //! - `checked`: the check of a response.
@@ -19,12 +21,14 @@
 //! - [`response`]: responses of the daemon itself, and the log lines and metrics of a finished
 //!   request.
 
+pub mod allowance;
 pub mod attempt;
 pub mod buffers;
 mod checked;
 pub mod claim;
 pub mod crash;
 pub mod forward;
+mod hedging;
 pub mod leaving;
 pub mod limit;
 pub mod path;
@@ -74,6 +78,13 @@
             Err(rejection) => return response::reject(context, None, id.as_deref(), &rejection),
         };
         let mut record = RequestRecord::new(context.clone(), routed.clone());
+        match allowance::admit(context, &routed).await {
+            Ok(token) => record.set_token(token),
+            Err(rejection) => {
+                record.end("refused", rejection.reason);
+                return response::reject(context, Some(&routed), None, &rejection);
+            }
+        }
         let payload = match Payload::read(&routed, &context.buffers, body).await {
             Ok(payload) => payload,
             Err(rejection) => {
--- a/crates/wb-gateway/src/proxy/response.rs
+++ b/crates/wb-gateway/src/proxy/response.rs
@@ -14,6 +14,7 @@
 use wb_http::Body;
 use wb_http::body;
 
+use super::allowance::Token;
 use super::peer;
 use super::request_key;
 use super::routed::Rejection;
@@ -100,6 +101,8 @@
 pub struct RequestRecord {
     context: Arc<Context>,
     routed: Arc<RoutedRequest>,
+    /// Token of its team's allowance; `None` if it needs none.
+    token: Option<Token>,
     ended: bool,
 }
 
@@ -109,10 +112,16 @@
         Self {
             context,
             routed,
+            token: None,
             ended: false,
         }
     }
 
+    /// Sets the token of its team's allowance, which is given back if the request is refused.
+    pub fn set_token(&mut self, token: Option<Token>) {
+        self.token = token;
+    }
+
     fn took(&self) -> Duration {
         self.context.now().saturating_sub(self.routed.arrived)
     }
@@ -120,6 +129,11 @@
     /// Counts the end of the request.
     pub fn end(&mut self, outcome: &'static str, reason: &'static str) {
         self.ended = true;
+        if outcome != "refused"
+            && let Some(token) = &mut self.token
+        {
+            token.spend();
+        }
         let labels = RequestLabels {
             service: self.routed.service.to_string(),
             repeat: self.routed.route.repeat.into(),
@@ -138,7 +152,7 @@
             Event::Answered,
             request = self.routed.id,
             route = self.routed.route.name,
-            team = self.routed.team_name(),
+            team = self.routed.team(),
             status = status.as_u16(),
             sends = attempts,
             took_ms = self.took().as_millis() as u64
@@ -162,8 +176,10 @@
             Event::Refused,
             request = self.routed.id,
             route = self.routed.route.name,
-            team = self.routed.team_name(),
+            team = self.routed.team(),
             waiting = balancer.queued_count(),
+            ahead = refusal.ahead,
+            over_share = refusal.over_share,
             usable = balancer.usable_count(),
             suspects = balancer.suspect_count(),
             budget = balancer.retry_budget().remaining(now),
@@ -184,7 +200,7 @@
             Event::Failed,
             request = self.routed.id,
             route = self.routed.route.name,
-            team = self.routed.team_name(),
+            team = self.routed.team(),
             reason = reason,
             sends = attempts,
             took_ms = self.took().as_millis() as u64
--- a/crates/wb-gateway/src/proxy/routed.rs
+++ b/crates/wb-gateway/src/proxy/routed.rs
@@ -18,6 +18,7 @@
 use wb_types::id::Moment;
 use wb_types::id::RequestKey;
 use wb_types::id::ServiceName;
+use wb_types::id::TeamName;
 
 use super::team;
 use crate::Context;
@@ -191,9 +192,9 @@
         priority.unwrap_or(self.route.priority)
     }
 
-    /// Name of the request's team, as it is logged.
-    pub fn team_name(&self) -> Option<&str> {
-        self.caller.as_ref().map(|caller| &*caller.team)
+    /// The team of the request.
+    pub fn team(&self) -> Option<&TeamName> {
+        self.caller.as_ref().map(|caller| &caller.team)
     }
 
     /// The team of the request, and what it is due.
