--- a/crates/wb-gateway/src/follow/members.rs
+++ b/crates/wb-gateway/src/follow/members.rs
@@ -11,6 +11,7 @@
 use super::log_errors;
 use super::observe_era;
 use crate::Context;
+use crate::peers::allowance;
 use crate::peers::heartbeat;
 use crate::peers::snapshot;
 use crate::platform::Error;
@@ -74,6 +75,7 @@
         members = state.steering.cards().len() - 1,
         found = found.len()
     );
+    allowance::sync_fleet(&mut state);
     // An instance that was known already has sent a heartbeat, and thus knows this one.
     let heartbeat = heartbeat::heartbeat(context, &state, true);
     context.send_packet(heartbeat, found);
--- a/crates/wb-gateway/src/peers/allowance.rs
+++ b/crates/wb-gateway/src/peers/allowance.rs
@@ -30,6 +30,18 @@
     let teams = routes.teams.teams();
     let limited = teams.filter_map(|(name, team)| Some((name, team.allowance?)));
     state.allowances.set_teams(limited, clock::boot_time());
+    sync_fleet(state);
+}
+
+/// Gives the ledger the other instances and the homes, so that it can ask them.
+pub fn sync_fleet(state: &mut State) {
+    if !state.allowances.is_active() || !state.members_read {
+        return;
+    }
+    let members = member_names(state);
+    let homes = state.steering.homes().to_vec();
+    let now = clock::boot_time();
+    state.allowances.set_fleet(members, &homes, now);
 }
 
 /// Renews the leases until the daemon ends.
@@ -47,10 +59,8 @@
     if !state.allowances.is_active() || !state.members_read {
         return;
     }
+    sync_fleet(&mut state);
     let now = clock::boot_time();
-    let members = member_names(&state);
-    let homes = state.steering.homes().to_vec();
-    state.allowances.set_fleet(members, &homes, now);
     let (offer, targets) = state.allowances.tick(now);
     let targets = targets.to_vec();
     let addresses = state.steering.addresses_of(&targets);
--- a/crates/wb-gateway/src/peers/heartbeat.rs
+++ b/crates/wb-gateway/src/peers/heartbeat.rs
@@ -12,6 +12,7 @@
 use wb_types::id::ServiceName;
 
 use super::Packet;
+use super::allowance;
 use super::limits;
 use super::packet::Heartbeat;
 use super::packet::PathReport;
@@ -155,6 +156,7 @@
     if !state.steering.update_homes(now) {
         return;
     }
+    allowance::sync_fleet(state);
     let homes = state.steering.homes().to_vec();
     for name in before.iter().filter(|name| !homes.contains(name)) {
         for service in state.services.values_mut() {
