--- a/crates/wb-allowance/src/ledger.rs
+++ b/crates/wb-allowance/src/ledger.rs
@@ -296,6 +296,11 @@
         self.leases.count() > before
     }
 
+    /// Interval between the offers of a home.
+    pub fn offer_interval(&self) -> Duration {
+        crate::offer_interval(self.members.len())
+    }
+
     /// Duration of the leases that this home asks for.
     fn lease_time(&self) -> Duration {
         lease_time(self.members.len())
