balance: teams share the queue also where no request can meet its latency target

Cause: in a lasting overload requests that would miss their latency target are refused, since newer ones overtake them. Where servers have become so slow that all miss it, nothing is queued any more, and free slots go to whoever sends most. Change: where teams are named, a request that usually takes longer than its latency target is not refused for that. Its deadline bounds its wait.

--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -201,7 +201,8 @@
     /// Estimated wait of a new request that would miss its latency target in the queue, and then be
     /// overtaken by newer ones until its deadline; `None` if it would not.
     fn hopeless_wait(&self, request: &RequestInfo, now: Moment) -> Option<Duration> {
-        if !self.overload.lasts_until(request.deadline, now) {
+        let typical = self.typical_duration(&request.route, request.target_latency);
+        if !self.overload.lasts_until(request.deadline, now) || self.is_slow(request, typical) {
             return None;
         }
         let ahead = self.timely_ahead_of(request, now);
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -98,8 +98,12 @@
             return Vec::new();
         }
         self.overload.record(now);
-        let deadline = |key: &WaitKey| self.queue[*key].request.deadline;
-        let hopeless = |key: &WaitKey| self.overload.lasts_until(deadline(key), now);
+        let hopeless = |key: &WaitKey| {
+            let waiter = &self.queue[*key];
+            let request = &waiter.request;
+            self.overload.lasts_until(request.deadline, now)
+                && !self.is_slow(request, self.typical_of(waiter))
+        };
         let hopeless: Vec<WaitKey> = late.into_iter().filter(hopeless).collect();
         let wait = self.estimate_wait(self.queue.len() - hopeless.len() + 1, now);
         let refuse = |key| {
@@ -113,6 +117,13 @@
         hopeless.into_iter().map(refuse).collect()
     }
 
+    /// Whether a request that usually takes `typical` misses its latency target however soon it is
+    /// sent, so that newer ones do not overtake it. Without a queue whoever sends most would get
+    /// most: only where teams are named.
+    pub(super) fn is_slow(&self, request: &RequestInfo, typical: Duration) -> bool {
+        self.shares.has_teams() && typical > request.target_latency
+    }
+
     /// Queues a request that `ahead` others go before.
     pub(super) fn enqueue(&mut self, request: RequestInfo, ahead: usize, now: Moment) -> WaitKey {
         let route = self.durations.key(&request.route);
--- a/crates/wb-balance/tests/shares.rs
+++ b/crates/wb-balance/tests/shares.rs
@@ -63,6 +63,7 @@
 struct Got {
     sent: usize,
     in_time: usize,
+    served: usize,
     repeats: usize,
     refused_repeats: usize,
     waits: Vec<Duration>,
@@ -105,6 +106,7 @@
     /// Whether requests name their teams; without, they are served as they arrive.
     named: bool,
     shed_share: f64,
+    target_latency: Duration,
     random: StdRng,
     waiting: HashMap<WaitKey, (usize, RequestInfo, Moment)>,
     running: Vec<Running>,
@@ -118,6 +120,7 @@
             teams: teams.to_vec(),
             named,
             shed_share: 0.0,
+            target_latency: Duration::from_millis(1500),
             random: StdRng::seed_from_u64(7),
             waiting: HashMap::new(),
             running: Vec::new(),
@@ -171,6 +174,7 @@
             team: (self.named && !of.public).then_some(share),
             priority: of.priority,
             deadline: now + TIME_BUDGET,
+            target_latency: self.target_latency,
             ..request(false, now)
         };
         self.got[team].sent += 1;
@@ -224,6 +228,7 @@
             self.balancer.finish(server, "orders", outcome, now);
             let in_time = now <= request.arrived + request.target_latency;
             self.got[team].in_time += usize::from(in_time);
+            self.got[team].served += 1;
             return;
         }
         self.balancer
@@ -258,6 +263,7 @@
     for one in &got[1..] {
         others.sent += one.sent;
         others.in_time += one.in_time;
+        others.served += one.served;
         others.repeats += one.repeats;
         others.waits.extend(&one.waits);
         others.held.extend(&one.held);
@@ -314,6 +320,33 @@
     assert!(all as f64 >= 0.98 * 1000.0, "{all} on slots for 1,000");
 }
 
+#[test]
+fn hot_team_leaves_small_ones_theirs_on_servers_too_slow_for_the_latency_target() {
+    let play = |named| {
+        let mut play = Play::new(5, 6, &hot_and_small(), named);
+        play.target_latency = USUAL - Duration::from_millis(50);
+        play.run(at(0), at(20_000));
+        play.finish(at(20_000))
+    };
+    let (first_come, shared) = (play(false), play(true));
+    let (_, before) = first_and_others(&first_come);
+    let (hot, small) = first_and_others(&shared);
+    println!(
+        "slow servers: small {} of {} (first come {}), wait p95 {:?}, hot {} of {}, held p50 {:?} p95 {:?}",
+        small.served,
+        small.sent,
+        before.served,
+        small.wait(0.95),
+        hot.served,
+        hot.sent,
+        quantile_of(&hot.held, 0.5),
+        quantile_of(&hot.held, 0.95),
+    );
+    assert!(small.served as f64 >= 0.98 * small.sent as f64);
+    let all = (hot.served + small.served) as f64;
+    assert!(all >= 0.98 * 2000.0, "{all} on slots for 2,000");
+}
+
 #[test]
 fn hot_public_route_leaves_the_teams_theirs() {
     let mut teams = hot_and_small();
