--- a/crates/wb-route/src/table.rs
+++ b/crates/wb-route/src/table.rs
@@ -90,6 +90,18 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// All routes, by name.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        let mut routes: Vec<&Route> = self
+            .hosts
+            .values()
+            .flatten()
+            .map(|route| &**route)
+            .collect();
+        routes.sort_by(|one, other| one.name.cmp(&other.name));
+        routes.into_iter()
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/wb-team/src/table.rs
+++ b/crates/wb-team/src/table.rs
@@ -102,6 +102,13 @@
         self.keys.len()
     }
 
+    /// Number of keys of a team that it doesn't have in another table.
+    pub fn keys_missing_in(&self, other: &Self, team: &TeamName) -> usize {
+        let keys = self.keys.iter().filter(|(_, holder)| *holder == team);
+        keys.filter(|(key, _)| other.keys.get(key) != Some(team))
+            .count()
+    }
+
     /// Number of routes whose requests need no key.
     pub fn public_route_count(&self) -> usize {
         self.public_routes.len()
