entry: only chunks count as the framing of an encoded body

The entry daemon refuses bodies whose end it can't tell, but took any transfer-encoding for chunks: a body with another one, which ends with its connection, was passed on as whole. Now the last encoding has to be chunked; an encoding goes before a length, as for the HTTP library.

lookup_that_ends_in_order_with_another_encoding (crates/wb-entry/tests/broken.rs) was red before and is green; wb-entry's other tests are green.

--- a/crates/wb-entry/src/proxy/backend.rs
+++ b/crates/wb-entry/src/proxy/backend.rs
@@ -10,6 +10,8 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use wb_dispatch::policy::Assignment;
 use wb_dispatch::policy::ServerLoad;
 use wb_http::Body;
@@ -157,7 +159,15 @@
     let bodiless = *method == Method::HEAD
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED;
-    bodiless || headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
+    bodiless || is_chunked(headers).unwrap_or_else(|| headers.contains_key(CONTENT_LENGTH))
+}
+
+/// Whether the last encoding of a body is that in chunks; `None` if it has none. An encoding goes before a
+/// length.
+fn is_chunked(headers: &HeaderMap) -> Option<bool> {
+    let encodings = headers.get_all(TRANSFER_ENCODING).iter().next_back()?;
+    let last = encodings.to_str().ok()?.rsplit(',').next()?;
+    Some(last.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// Buffers a small response, so that the request can be retried if the body is incomplete.
--- a/crates/wb-entry/tests/broken.rs
+++ b/crates/wb-entry/tests/broken.rs
@@ -262,6 +262,27 @@
     upload_of_http_2_between_two_chunks: HTTP_2, upload LARGE, "transfer-encoding: chunked\r\n", chunk(10), servers 1;
 }
 
+/// A body without length or chunks ends with its connection: whether all of it came can't be told.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lookup_that_ends_in_order_with_another_encoding() {
+    let steps = |request: &str| {
+        let response = response(
+            request,
+            "200 OK",
+            "transfer-encoding: identity\r\n",
+            b"part",
+        );
+        vec![Step::Send(response), Step::Close]
+    };
+    let fixture = Fixture::start(Arc::new(steps), 1).await;
+    fixture.wait_until_served().await;
+    let answer = fixture.send(0, Version::HTTP_11).await;
+    let whole = answer
+        .as_ref()
+        .is_ok_and(|answer| answer.status().is_success());
+    assert!(!whole, "{answer:?}");
+}
+
 async fn play_status(status: &'static str) {
     let steps = move |request: &str| {
         let response = response(
--- a/crates/wb-stand/src/scripted.rs
+++ b/crates/wb-stand/src/scripted.rs
@@ -39,6 +39,8 @@
     Pause(Duration),
     /// Reads and discards what comes in this time.
     Read(Duration),
+    /// Ends the connection in order.
+    Close,
     /// Resets the connection.
     Reset,
 }
@@ -155,6 +157,7 @@
                     // Ends with the time, or with the connection, which the next step notices.
                     let _ = tokio::time::timeout(time, self.read_all()).await;
                 }
+                Step::Close => return self.stream.shutdown().await,
                 Step::Reset => return self.reset(),
             }
         }
