balance: suspects of services without lookups return sooner and ramp up

Half of the service's 223 servers were suspect before the trouble and 185 in it, so that orders were queued, waited 0.45 s and only then went to suspects, all of them at 14.0 s. Suspects that were cleared by responses to requests from before the failure got the queues of all homes within some ms; such a burst lost up to 13 requests at one server.

Change, only where few requests can be sent again: - a response clears a suspect only if its request was sent after the last failure; - after a failure an instance has one request at the server, and one more for three responses each; - while requests go unserved, suspects may return after 0.9 s in place of 3 s, and at once if no other server has room; instances spread over them; - sends count as lost as soon as they are overdue, no longer at their deadline only.

--- a/crates/wb-balance/src/balancer/finish.rs
+++ b/crates/wb-balance/src/balancer/finish.rs
@@ -41,6 +41,12 @@
         if let AttemptOutcome::Success(duration) | AttemptOutcome::Late(duration) = outcome {
             self.record_duration(key, route, duration);
         }
+        match outcome {
+            AttemptOutcome::Success(_) => self.record_overdue(0.0),
+            AttemptOutcome::Failure(_) => self.record_overdue(1.0),
+            _ => {}
+        }
+        let lacks_explorers = self.lacks_explorers();
         let entry = self.servers.get_mut(key)?;
         let failed = match outcome {
             AttemptOutcome::Success(_) | AttemptOutcome::Late(_) => Some(0.0),
@@ -54,6 +60,11 @@
         entry.own_running = entry.own_running.saturating_sub(1);
         entry.detector.set_in_trial(false);
         match outcome {
+            AttemptOutcome::Success(took)
+                if lacks_explorers && entry.detector.is_outdated(now.saturating_sub(took)) =>
+            {
+                None
+            }
             AttemptOutcome::Success(_) => {
                 entry.shed_rate *= 1.0 - SHED_ALPHA;
                 entry.record(Evidence::Good, now)
@@ -83,9 +94,16 @@
         evidence: Evidence,
         now: Moment,
     ) -> Option<EvidenceReport> {
+        if evidence == Evidence::Overdue {
+            self.record_overdue(1.0);
+        }
         self.servers.get_mut(key)?.record(evidence, now)
     }
 
+    fn record_overdue(&mut self, overdue: f64) {
+        self.overdue_rate += (overdue - self.overdue_rate) * UNSERVED_ALPHA;
+    }
+
     /// Records evidence that a peer reported. Returns a report only if it changed whether the
     /// server is suspect.
     pub fn record_peer_evidence(
--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -245,6 +245,9 @@
     failure_rate: f64,
     /// Moving average of the share of requests that are refused or fail.
     unserved_rate: f64,
+    /// Moving average of the share of sends that fail or are overdue. Those that hang count long before
+    /// they end.
+    overdue_rate: f64,
     /// Moving average of the share of requests that can be sent again.
     explorer_share: f64,
     /// Trials that requests which can't be sent again may make: grows with each of them.
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -29,6 +29,9 @@
 const FLOOR_SHARE: f64 = 0.8;
 /// Share of unserved requests from which the floor counts, well below the users' limit of a tenth.
 const UNSERVED_MAX: f64 = 0.06;
+/// Share of overdue and failed sends from which the floor counts: one in thirty is overdue at sound
+/// servers.
+const OVERDUE_MAX: f64 = 0.08;
 /// Share of unserved requests from which recency has no weight at a service without explorers.
 const UNSERVED_LOW: f64 = 0.02;
 /// Share of requests that can be sent again from which they suffice for the trials of suspects.
@@ -37,6 +40,14 @@
 pub(super) const RETURN_SHARE: f64 = 0.05;
 /// Most such trials at a time.
 pub(super) const RETURN_MAX: f64 = 3.0;
+/// Time without evidence after which a suspect may get a request that can't be sent again: half of
+/// the failing servers have recovered by then.
+const RETURN_DELAY: Duration = Duration::from_secs(3);
+/// The same while requests go unserved: less than half of the two seconds in which a healthy server
+/// should get a request, so that one trial may fail before.
+const RETURN_DELAY_LOSING: Duration = Duration::from_millis(900);
+/// Range over which instances that choose among suspects at the same time spread.
+const RETURN_SPREAD_MS: u64 = 1000;
 /// Average durations that must remain before the deadline for a trial, so that the request can be
 /// sent again.
 const TRIAL_DURATIONS: u32 = 3;
@@ -78,8 +89,9 @@
             return Some(key);
         }
         let healthy = self.cheapest(request, now, |entry| !entry.detector.is_suspect());
-        let waited = healthy.is_none() && allow_suspect;
-        if (waited || self.is_under_floor())
+        // While requests go unserved, those without a slot would wait only to go there later.
+        let full = healthy.is_none() && (allow_suspect || self.loses_requests());
+        if (full || self.is_under_floor())
             && let Some(key) = self.returning(request, now)
         {
             return Some(key);
@@ -151,27 +163,34 @@
         if request.idempotent || !self.lacks_explorers() {
             return None;
         }
+        let silence = if self.loses_requests() {
+            RETURN_DELAY_LOSING
+        } else {
+            RETURN_DELAY
+        };
+        // Spreads the instances over the suspects.
+        let spread = || Duration::from_millis(rand::rng().random_range(0..RETURN_SPREAD_MS));
         self.servers
             .iter()
             .filter(|(key, entry)| {
                 let idle = entry.load() == 0 && now >= entry.backoff_until;
                 entry.is_open(now)
                     && idle
-                    && entry.detector.may_return(now)
+                    && entry.detector.may_return(silence, now)
                     && !request.tried.contains(key)
             })
-            .min_by_key(|(_, entry)| entry.detector.last_evidence())
+            .min_by_key(|(_, entry)| entry.detector.last_evidence() + spread())
             .map(|(key, _)| key)
     }
 
     /// Whether too few requests arrive that can be sent again, and thus show the state of servers.
-    fn lacks_explorers(&self) -> bool {
+    pub(super) fn lacks_explorers(&self) -> bool {
         self.explorer_share < EXPLORER_SHARE_MIN
     }
 
     /// Whether so many requests go unserved that the floor may count.
     fn loses_requests(&self) -> bool {
-        self.unserved_rate > UNSERVED_MAX
+        self.unserved_rate > UNSERVED_MAX || self.overdue_rate > OVERDUE_MAX
     }
 
     /// Whether fewer servers than the floor are in use while requests go unserved, and trials by
@@ -190,8 +209,11 @@
         eligible: impl Fn(&ServerEntry) -> bool,
     ) -> Option<ServerKey> {
         let mut best: Option<(f64, ServerKey)> = None;
+        let ramps = self.lacks_explorers();
         for (key, entry) in &self.servers {
-            let free = entry.is_open(now) && entry.load() < entry.server.slots;
+            let free = entry.is_open(now)
+                && entry.load() < entry.server.slots
+                && (!ramps || entry.own_running < entry.detector.running_max());
             if !free
                 || now < entry.backoff_until
                 || !eligible(entry)
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -51,6 +51,7 @@
             share: 1.0,
             failure_rate: INITIAL_FAILURE_RATE,
             unserved_rate: 0.0,
+            overdue_rate: 0.0,
             explorer_share: 0.0,
             return_allowance: 0.0,
             decayed_at: Moment::ZERO,
--- a/crates/wb-balance/src/detector.rs
+++ b/crates/wb-balance/src/detector.rs
@@ -48,12 +48,14 @@
 const PROVEN_TIME: Duration = Duration::from_secs(2);
 /// Score below which decay clears a suspect, in nats.
 const CLEARED_SCORE: f64 = 1.0;
-/// Time without evidence after which a suspect may get a request that can't be sent again: half of
-/// the failing servers have recovered by then.
-const RETURN_DELAY: Duration = Duration::from_secs(3);
-/// Longest such time, after failed trials.
+/// Longest time without evidence until a suspect may get a request that can't be sent again, after
+/// failed trials.
 const RETURN_DELAY_MAX: Duration = Duration::from_secs(8);
 
+/// Complete responses since a server's last failure for each further request that an instance may
+/// have in progress there: as many as clear a suspect.
+const RAMP_STREAK: u32 = 3;
+
 /// What one request showed about its server.
 #[derive(
     Clone, Copy, Debug, Display, Eq, Hash, IntoStaticStr, PartialEq, Serialize, Deserialize,
@@ -85,6 +87,11 @@
     pub fn is_response(self) -> bool {
         matches!(self, Self::Good | Self::Late)
     }
+
+    /// Whether a request failed.
+    fn is_failure(self) -> bool {
+        !self.is_response() && self != Self::Overdue
+    }
 }
 
 /// Cumulative sum of one source of evidence.
@@ -147,6 +154,9 @@
     last_success: Option<Moment>,
     /// When the newest evidence was recorded, own or reported.
     last_evidence: Moment,
+    /// When the newest failure was recorded, own or reported; requests that are merely overdue don't
+    /// count.
+    last_failure: Option<Moment>,
     /// Complete responses since the last failure.
     success_streak: u32,
     /// Moving average of the share of requests that succeed.
@@ -163,6 +173,7 @@
             peers: Score::default(),
             last_success: None,
             last_evidence: Moment::ZERO,
+            last_failure: None,
             success_streak: 0,
             success_rate: 1.0,
             failed_trials: 0,
@@ -179,6 +190,9 @@
         let was_suspect = self.is_suspect();
         self.own.add(evidence);
         self.last_evidence = now;
+        if evidence.is_failure() {
+            self.last_failure = Some(now);
+        }
         self.update_rates(evidence);
         if evidence.is_response() {
             self.peers.add(evidence);
@@ -200,6 +214,9 @@
             other => other,
         });
         self.last_evidence = now;
+        if evidence.is_failure() {
+            self.last_failure = Some(now);
+        }
         self.update_rates(evidence);
         if evidence.is_response() && !self.own.suspect {
             self.last_success = Some(now);
@@ -283,6 +300,21 @@
         self.own.suspect || self.peers.suspect
     }
 
+    /// Whether a complete response to a request that was sent at `sent` says nothing of requests that
+    /// are sent now: the server is suspect, and began to fail after it had received that request.
+    pub fn is_outdated(&self, sent: Moment) -> bool {
+        self.is_suspect() && self.last_failure.is_some_and(|failure| sent < failure)
+    }
+
+    /// Most requests that this instance may have in progress at the server. When a few responses clear
+    /// a server, the queues of all instances would else go there at once, and it may still fail.
+    pub fn running_max(&self) -> u32 {
+        match self.last_failure {
+            Some(_) => 1 + self.success_streak / RAMP_STREAK,
+            None => u32::MAX,
+        }
+    }
+
     /// Failure score, in nats; a higher one means a failing server is likelier.
     pub fn score(&self) -> f64 {
         self.own.sum.max(self.peers.sum)
@@ -320,10 +352,10 @@
     }
 
     /// Whether a suspect may get a request that can't be sent again: its last request succeeded, or
-    /// there was no evidence for a time that grows with each failed trial.
-    pub fn may_return(&self, now: Moment) -> bool {
+    /// there was no evidence for `silence`, which grows with each failed trial.
+    pub fn may_return(&self, silence: Duration, now: Moment) -> bool {
         let growth = TRIAL_DELAY_GROWTH.powi(self.failed_trials.min(8) as i32);
-        let delay = RETURN_DELAY.mul_f64(growth).min(RETURN_DELAY_MAX);
+        let delay = silence.mul_f64(growth).min(RETURN_DELAY_MAX);
         let silent = now.saturating_sub(self.last_evidence) >= delay;
         self.is_suspect() && !self.in_trial && (silent || self.success_streak > 0)
     }
--- a/crates/wb-balance/tests/support/mod.rs
+++ b/crates/wb-balance/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
+pub mod fleet;
+
 use std::time::Duration;
 
 use wb_balance::Assignment;
