allowance: requests wait for the first leases of a process

Cause: callers of both new deployments don't come back after a 503, and for 0.35 s after a start no home can tell whether a team is over its allowance. Change: while leases are on their way, in the first second of a process that holds too little, a request waits for a token for 0.4 s at most.

--- a/crates/wb-allowance/src/account.rs
+++ b/crates/wb-allowance/src/account.rs
@@ -52,6 +52,8 @@
     pub until: Moment,
     /// Whether tokens that lack here lack everywhere.
     pub is_over: bool,
+    /// Whether the instance has just started, and leases are on their way.
+    pub is_starting: bool,
 }
 
 /// What to do with a request.
@@ -117,6 +119,7 @@
             rounds,
             until,
             is_over,
+            is_starting,
         } = circumstances;
         let now = holding.now;
         let asking = self.is_asking(rounds, now);
@@ -133,6 +136,7 @@
         match (asking, may_ask) {
             (true, _) if now < until => Step::Wait,
             (_, true) if now < until => Step::Ask,
+            _ if is_starting && now < until => Step::Wait,
             _ => Step::Refuse(self.refuse(is_over, holding)),
         }
     }
--- a/crates/wb-allowance/src/ledger.rs
+++ b/crates/wb-allowance/src/ledger.rs
@@ -42,6 +42,12 @@
 /// used in another window than that in which it accrued.
 const GIVE_BACK_TIME: Duration = Duration::from_millis(250);
 
+/// Time after the start of a process in which leases are on their way.
+const START_TIME: Duration = Duration::from_secs(1);
+/// Time that a request waits for a token while leases are on their way: they can be given once those of
+/// former processes have ended.
+const START_WAIT: Duration = Duration::from_millis(400);
+
 /// Identity of the instance, and what it starts with.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -68,6 +74,7 @@
 #[derive(Clone, Debug)]
 pub struct Ledger {
     identity: Identity,
+    started: Moment,
     tolerance: Tolerance,
     owner: Owner,
     leases: Leases,
@@ -96,6 +103,7 @@
         Self {
             owner: Owner::new(identity.name.clone(), identity.first_start, now),
             identity,
+            started: now,
             tolerance,
             leases: Leases::new(now),
             accounts: HashMap::new(),
@@ -348,7 +356,18 @@
         if let Some(account) = self.accounts.get_mut(team) {
             account.bucket.count_request(now);
         }
-        self.decide(team, now + WAIT_TIME, now)
+        let wait = if self.is_starting(now) {
+            START_WAIT
+        } else {
+            WAIT_TIME
+        };
+        self.decide(team, now + wait, now)
+    }
+
+    /// Whether this process has just started, and holds too little to know of any team whether it is over
+    /// its allowance.
+    fn is_starting(&self, now: Moment) -> bool {
+        now.saturating_sub(self.started) < START_TIME && !self.is_known(now)
     }
 
     /// Decides again on a request that waits until the given time at most.
@@ -359,6 +378,7 @@
             rounds: Questions::rounds(self.others.len()),
             until,
             is_over: self.is_known(now),
+            is_starting: self.is_starting(now),
         };
         let Some(account) = self.accounts.get_mut(team) else {
             return Verdict::Admitted;
--- a/crates/wb-allowance/tests/messages.rs
+++ b/crates/wb-allowance/tests/messages.rs
@@ -22,6 +22,11 @@
 
 /// A ledger of a fleet of four instances, with two homes `a` and `b`.
 fn ledger(name: &str, incarnation: u64) -> Ledger {
+    ledger_since(name, incarnation, NOW - Duration::from_secs(20))
+}
+
+/// The same for a process that has started at the given time.
+fn ledger_since(name: &str, incarnation: u64, start: Moment) -> Ledger {
     let identity = Identity {
         name: name.into(),
         incarnation,
@@ -32,7 +37,6 @@
         overshoot: 0.1,
         extra: 20.0,
     };
-    let start = NOW - Duration::from_secs(20);
     let mut ledger = Ledger::new(identity, tolerance, start);
     let team: TeamName = "team".into();
     let allowance = Allowance {
@@ -133,6 +137,17 @@
     assert_eq!(later.map(|lease| lease.is_leased), Some(true));
 }
 
+#[test]
+fn requests_wait_for_the_first_leases_of_a_process() {
+    let mut home = ledger_since("a", 1, NOW);
+    let limit = NOW + Duration::from_millis(400);
+    assert_eq!(home.admit("team", NOW), Verdict::Wait(limit));
+    let verdict = home.decide("team", limit, limit - MILLISECOND);
+    assert_eq!(verdict, Verdict::Wait(limit));
+    let verdict = home.decide("team", limit, limit);
+    assert!(matches!(verdict, Verdict::Refused(_)));
+}
+
 #[test]
 fn the_credit_of_a_process_counts_before_its_part_and_once() {
     let mut home = ledger("a", 1);
--- a/crates/wb-gateway/src/peers/allowance.rs
+++ b/crates/wb-gateway/src/peers/allowance.rs
@@ -106,7 +106,9 @@
 /// Takes the part of another instance.
 pub fn handle_lease(context: &Context, lease: &Lease) {
     let now = clock::boot_time();
-    context.state().allowances.handle_lease(lease, now);
+    if context.state().allowances.handle_lease(lease, now) {
+        context.allowance_wakeup.notify_waiters();
+    }
 }
 
 /// Lends tokens to another instance.
--- a/crates/wb-gateway/src/proxy/allowance.rs
+++ b/crates/wb-gateway/src/proxy/allowance.rs
@@ -1,6 +1,7 @@
 //! Allowances of teams: a request above that of its team is refused before its body is read.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::StatusCode;
 use wb_allowance::Refusal;
@@ -19,6 +20,9 @@
 use crate::context::State;
 use crate::peers::allowance::send_questions;
 
+/// Interval at which it is checked whether tokens have accrued for a request that waits for one.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// The token of a request, given back when it is dropped unless it was spent.
 pub struct Token {
     context: Arc<Context>,
@@ -70,7 +74,9 @@
             Verdict::Refused(refusal) => return Err(refuse(context, routed, team, &refusal)),
             Verdict::Wait(until) => {
                 waits_until = Some(until);
-                let wait = until.saturating_sub(clock::boot_time());
+                let wait = until
+                    .saturating_sub(clock::boot_time())
+                    .min(RECHECK_INTERVAL);
                 tokio::select! {
                     () = grants => {}
                     () = tokio::time::sleep(wait) => {}
