--- a/crates/wb-gateway/src/peers/allowance.rs
+++ b/crates/wb-gateway/src/peers/allowance.rs
@@ -67,7 +67,6 @@
     }
     sync_fleet(&mut state);
     let now = clock::boot_time();
-    let interval = wb_allowance::offer_interval(state.steering.cards().len());
     let (offer, targets) = state.allowances.tick(now);
     let targets = targets.to_vec();
     let addresses = state.steering.addresses_of(&targets);
@@ -85,7 +84,7 @@
     context.metrics.allowances.part.set(part);
     let levels = state.allowances.levels(now);
     context.metrics.allowances.set_levels(levels);
-    interval
+    state.allowances.offer_interval()
 }
 
 /// Names of all instances that have not left, in the same order each time.
