soak: callers with keys

Cause: the soak's configuration named no teams. Each run at a server must name the caller's team and no key, and no request with such a key may be answered 401. Without teams, no run may name one.

--- a/crates/wb-soak/src/caller.rs
+++ b/crates/wb-soak/src/caller.rs
@@ -20,11 +20,13 @@
 use wb_stand::published::Server;
 use wb_stand::published::fixtures;
 use wb_stand::published::server::DEADLINE;
+use wb_stand::published::server::KEY;
 use wb_stand::published::server::REQUEST_ID;
 use wb_stand::published::server::SERVER_LEAVING;
 use wb_stand::published::server::SIGNATURE;
 use wb_stand::published::server::is_valid_response;
 
+use crate::testbed::TEAMS;
 use crate::testbed::Testbed;
 
 /// Number of callers that send concurrently.
@@ -46,6 +48,8 @@
     pub id: String,
     /// Whether the request must run at most once.
     pub once: bool,
+    /// Name of the caller's team.
+    pub team: &'static str,
     /// When the request was sent.
     pub sent_at: Instant,
     /// When the response was complete or had failed.
@@ -87,6 +91,7 @@
             valid_until: Instant::now(),
             deadline: testbed.options.deadline(),
             sticky: index % STICKY_EVERY == 0,
+            key: testbed.options.teams.then(|| team_of(index).1),
         };
         let run = |index| tokio::spawn(caller(index).run(stop.clone(), results.clone()));
         let mut tasks: Vec<_> = (0..CALLERS).map(run).collect();
@@ -119,6 +124,11 @@
     }
 }
 
+/// Name and key of a caller's team.
+fn team_of(caller: usize) -> (&'static str, &'static str) {
+    TEAMS[caller % TEAMS.len()]
+}
+
 /// One caller with its own pool of persistent connections.
 struct Caller {
     index: usize,
@@ -132,6 +142,8 @@
     deadline: Duration,
     /// Whether addresses and open connections are used until they fail, whatever the TTL.
     sticky: bool,
+    /// Key that it sends, if any.
+    key: Option<&'static str>,
 }
 
 impl Caller {
@@ -223,12 +235,16 @@
 
     async fn send(&self, address: SocketAddr, id: String, once: bool, path: &str) -> CallerResult {
         let method = if once { "POST" } else { "GET" };
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(path)
             .header("host", "site.example")
             .header(REQUEST_ID, &id)
-            .header(DEADLINE, self.deadline.as_millis() as u64)
+            .header(DEADLINE, self.deadline.as_millis() as u64);
+        if let Some(key) = self.key {
+            request = request.header(KEY, key);
+        }
+        let request = request
             .body(body::full(if once { vec![1; 300] } else { Vec::new() }))
             .expect("the request is valid");
         let sent_at = Instant::now();
@@ -248,6 +264,7 @@
         CallerResult {
             id,
             once,
+            team: team_of(self.index).0,
             sent_at,
             ended_at: Instant::now(),
             status: response.as_ref().map(|(status, ..)| *status),
--- a/crates/wb-soak/src/check.rs
+++ b/crates/wb-soak/src/check.rs
@@ -98,6 +98,7 @@
     let mut violations = Vec::new();
     for result in results {
         violations.extend(check_request(testbed, result));
+        violations.extend(check_team(testbed, result));
     }
     let senders = senders(testbed, results);
     violations.extend(check_leaving(testbed, &senders, faults));
@@ -122,6 +123,24 @@
     }
 }
 
+/// Checks that servers got the name of the caller's team with a request, and no key, and that the key
+/// was known; without teams, that no team was named.
+fn check_team(testbed: &Testbed, result: &CallerResult) -> Option<String> {
+    let id = &result.id;
+    if result.status == Some(401) {
+        return Some(format!("{id}: refused though its key stays"));
+    }
+    let want = testbed.options.teams.then_some(result.team);
+    let runs = testbed.ledger.runs(id);
+    let wrong = runs
+        .iter()
+        .find(|run| run.has_key || run.team.as_deref() != want);
+    wrong.map(|run| {
+        let (team, key) = (&run.team, run.has_key);
+        format!("{id}: ran with team {team:?} instead of {want:?}, with a key: {key}")
+    })
+}
+
 /// Checks one request: a success is the complete response to this request, a request that must not
 /// be repeated ran at most once (not at all if it was reported as not run), and only servers of the
 /// routed service ran it.
--- a/crates/wb-soak/src/main.rs
+++ b/crates/wb-soak/src/main.rs
@@ -24,6 +24,8 @@
             optional --servers count: usize
             /// Plays planned work alone, without faults.
             optional --planned
+            /// Names teams in the configuration; callers send their keys.
+            optional --teams
             /// Folder for settings and logs; `out/soak` if not given.
             optional --out folder: PathBuf
         }
@@ -46,6 +48,7 @@
             instances: flags.daemons.unwrap_or(6),
             servers: flags.servers.unwrap_or(5),
             planned: flags.planned,
+            teams: flags.teams,
         };
         match wb_soak::run(options, duration).await {
             Ok(report) => {
--- a/crates/wb-soak/src/testbed.rs
+++ b/crates/wb-soak/src/testbed.rs
@@ -24,6 +24,8 @@
 use rand::rngs::SmallRng;
 use rustix::process::Pid;
 use rustix::process::Signal;
+use serde_json::Value;
+use serde_json::json;
 use tokio::net::TcpListener;
 use wb_http::Pool;
 use wb_http::client::Client;
@@ -77,6 +79,8 @@
     /// Whether there is only planned work: stops, reloads, changes, and what servers say of
     /// themselves.
     pub planned: bool,
+    /// Whether the configuration names teams.
+    pub teams: bool,
 }
 
 impl Options {
@@ -112,6 +116,16 @@
     }
 }
 
+/// Names of the teams and a key of each that is never taken away.
+pub const TEAMS: [(&str, &str); 2] = [("even", "3v3n3v3n3v3n"), ("odd", "0dd0dd0dd0dd")];
+
+/// The teams of a version of the configuration. Each has another key beside the one that stays.
+fn teams(version: u64) -> Value {
+    let row = |key: &str| json!({"api_keys": [key, format!("{key}{version}")]});
+    let rows = TEAMS.map(|(name, key)| (name.to_owned(), row(key)));
+    Value::Object(rows.into_iter().collect())
+}
+
 /// A backend server and the link that the fleet reaches it through.
 pub struct Backend {
     /// Stand-in of the server.
@@ -280,6 +294,9 @@
             config["routes"][route]["timeout_ms"] =
                 (self.options.deadline().as_millis() as u64).into();
         }
+        if self.options.teams {
+            config["tenants"] = teams(self.version);
+        }
         self.store
             .put("op", "config", config.to_string().as_bytes());
     }
--- a/crates/wb-stand/src/published/server.rs
+++ b/crates/wb-stand/src/published/server.rs
@@ -75,6 +75,10 @@
     pub size: usize,
     /// Time that the sender waits for the response, in milliseconds, if it sent one.
     pub deadline: Option<u64>,
+    /// Team that the request names.
+    pub team: Option<String>,
+    /// Whether it names a key.
+    pub has_key: bool,
     /// Time when the execution started.
     #[serde(skip)]
     pub started: Instant,
@@ -517,6 +521,8 @@
                 line: format!("{} {}", head.method, head.uri),
                 size: content.to_bytes().len(),
                 deadline: text(DEADLINE).and_then(|millis| millis.parse().ok()),
+                team: text(TEAM),
+                has_key: head.headers.contains_key(KEY),
                 started: Instant::now(),
             },
         );
