--- a/crates/wb-balance/src/lines.rs
+++ b/crates/wb-balance/src/lines.rs
@@ -12,6 +12,8 @@
 
 /// Time after which the rate at which a line is served is known.
 const RATE_TIME: Duration = Duration::from_millis(500);
+/// Slots after which the rate is known: fewer may have come by chance.
+const RATE_SLOTS: f64 = 5.0;
 /// Time from which on the rate counts older slots less.
 const RATE_TIME_MAX: Duration = Duration::from_secs(2);
 
@@ -51,7 +53,8 @@
     fn wait(&self, ahead: usize, now: Moment) -> Option<Duration> {
         let passed = now.saturating_sub(self.served_since);
         let rate = (self.served + 1.0) / passed.as_secs_f64();
-        (passed >= RATE_TIME).then(|| Duration::from_secs_f64((ahead + 1) as f64 / rate))
+        let is_known = passed >= RATE_TIME && self.served >= RATE_SLOTS;
+        is_known.then(|| Duration::from_secs_f64((ahead + 1) as f64 / rate))
     }
 }
 
