--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -29,9 +29,9 @@
 const FLOOR_SHARE: f64 = 0.8;
 /// Share of unserved requests from which the floor counts, well below the users' limit of a tenth.
 const UNSERVED_MAX: f64 = 0.06;
-/// Share of overdue and failed sends from which the floor counts: one in thirty is overdue at sound
-/// servers.
-const OVERDUE_MAX: f64 = 0.08;
+/// Share of overdue and failed sends from which the floor counts: above the users' limit, since one in
+/// thirty is overdue at sound servers and served late.
+const OVERDUE_MAX: f64 = 0.12;
 /// Share of unserved requests from which recency has no weight at a service without explorers.
 const UNSERVED_LOW: f64 = 0.02;
 /// Share of requests that can be sent again from which they suffice for the trials of suspects.
