--- a/crates/wb-allowance/src/account.rs
+++ b/crates/wb-allowance/src/account.rs
@@ -54,6 +54,8 @@
     pub is_over: bool,
     /// Whether the instance has just started, and leases are on their way.
     pub is_starting: bool,
+    /// Sum of the parts that a home holds if all hold equally many.
+    pub part_due: f64,
 }
 
 /// What to do with a request.
@@ -120,6 +122,7 @@
             until,
             is_over,
             is_starting,
+            part_due,
         } = circumstances;
         let now = holding.now;
         let asking = self.is_asking(rounds, now);
@@ -137,13 +140,13 @@
             (true, _) if now < until => Step::Wait,
             (_, true) if now < until => Step::Ask,
             _ if is_starting && now < until => Step::Wait,
-            _ => Step::Refuse(self.refuse(is_over, holding)),
+            _ => Step::Refuse(self.refuse(is_over, part_due, holding)),
         }
     }
 
-    fn refuse(&mut self, is_over: bool, holding: Holding) -> Refusal {
+    fn refuse(&mut self, is_over: bool, part_due: f64, holding: Holding) -> Refusal {
         let retry_after = if is_over {
-            self.bucket.promise(holding)
+            self.bucket.promise(part_due, holding)
         } else {
             UNKNOWN_RETRY
         };
--- a/crates/wb-allowance/src/ledger.rs
+++ b/crates/wb-allowance/src/ledger.rs
@@ -93,7 +93,7 @@
     credited: BTreeMap<InstanceName, Incarnation>,
     questions: Questions,
     outbox: Vec<(InstanceName, Question)>,
-    /// When another instance last answered a question.
+    /// When another instance that knows what lacks everywhere last answered a question.
     answered: Option<Moment>,
 }
 
@@ -379,6 +379,7 @@
             until,
             is_over: self.is_known(now),
             is_starting: self.is_starting(now),
+            part_due: 1.0 / self.homes.len().max(1) as f64,
         };
         let Some(account) = self.accounts.get_mut(team) else {
             return Verdict::Admitted;
@@ -448,6 +449,7 @@
             incarnation: question.incarnation,
             serial: question.serial,
             granted,
+            is_known: self.is_known(now),
         }
     }
 
@@ -460,7 +462,9 @@
             return false;
         };
         self.advance(now);
-        self.answered = Some(now);
+        if grant.is_known {
+            self.answered = Some(now);
+        }
         let holding = self.holding(now);
         let rounds = Questions::rounds(self.others.len());
         for (team, tokens) in &grant.granted {
