--- a/crates/wb-balance/src/balancer/offer.rs
+++ b/crates/wb-balance/src/balancer/offer.rs
@@ -12,7 +12,6 @@
 use super::finish::UNSERVED_ALPHA;
 use super::order::Ahead;
 use super::pick::RETURN_MAX;
-use super::pick::RETURN_SHARE;
 use super::repeats::RESERVED_SHARE;
 use crate::closing::Closing;
 use crate::hedge;
@@ -158,7 +157,7 @@
             return Self::refuse(RefusalCause::NoServer, RETRY_AFTER_MIN);
         }
         if !request.may_explore() {
-            self.return_allowance = (self.return_allowance + RETURN_SHARE).min(RETURN_MAX);
+            self.return_allowance = (self.return_allowance + self.return_share()).min(RETURN_MAX);
         }
         let in_flight = self.own_running();
         self.shares.advance(in_flight);
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -29,15 +29,17 @@
 const FLOOR_SHARE: f64 = 0.8;
 /// Share of unserved requests from which the floor counts, well below the users' limit of a tenth.
 const UNSERVED_MAX: f64 = 0.06;
-/// Share of overdue and failed sends from which the floor counts: above the users' limit, since one in
-/// thirty is overdue at sound servers and served late.
-const OVERDUE_MAX: f64 = 0.12;
+/// Share of overdue and failed sends from which the floor may count: one in thirty is overdue at sound
+/// servers.
+const OVERDUE_LOW: f64 = 0.08;
+/// The same from which it counts in full.
+const OVERDUE_HIGH: f64 = 0.16;
 /// Share of unserved requests from which recency has no weight at a service without explorers.
 const UNSERVED_LOW: f64 = 0.02;
 /// Share of requests that can be sent again from which they suffice for the trials of suspects.
 const EXPLORER_SHARE_MIN: f64 = 0.15;
 /// Share of the requests that can't be sent again which may be trials of suspects.
-pub(super) const RETURN_SHARE: f64 = 0.05;
+const RETURN_SHARE: f64 = 0.05;
 /// Most such trials at a time.
 pub(super) const RETURN_MAX: f64 = 3.0;
 /// Time without evidence after which a suspect may get a request that can't be sent again: half of
@@ -195,7 +197,27 @@
 
     /// Whether so many requests go unserved that the floor may count.
     fn loses_requests(&self) -> bool {
-        self.unserved_rate > UNSERVED_MAX || self.overdue_rate > OVERDUE_MAX
+        self.loss_level() > 0.0
+    }
+
+    /// How far the share of requests that go unserved has come towards one at which the floor counts,
+    /// 0 to 1.
+    fn loss_level(&self) -> f64 {
+        if self.unserved_rate > UNSERVED_MAX {
+            return 1.0;
+        }
+        ((self.overdue_rate - OVERDUE_LOW) / (OVERDUE_HIGH - OVERDUE_LOW)).clamp(0.0, 1.0)
+    }
+
+    /// Trials that a request which can't be sent again adds to those that are allowed. While few
+    /// requests go unserved, most trials would cost more than they bring back.
+    pub(super) fn return_share(&self) -> f64 {
+        let level = self.loss_level();
+        if level > 0.0 {
+            RETURN_SHARE * level
+        } else {
+            RETURN_SHARE
+        }
     }
 
     /// Whether fewer servers than the floor are in use while requests go unserved, and trials by
