gateway: bound what callers that don't read cost

Cause: the deadline of a streamed response was looked at only when the caller's connection asked for bytes. A caller that read nothing kept the slot and the server's connection until it left. Memory of a buffered body was free again when the body was passed on, not when it was written, and the first bytes of a streamed body were not counted at all. The kernel took up to 2.6 MB for each such connection on the loopback (worked out).

Bytes keep their reservation until the last copy is dropped. A listener bounds its connections' send buffers (128 KiB) and what HTTP/2 streams queue (64 KiB), and resets a connection to which nothing can be written for ten seconds.

Payload::Buffered has one field now, since its bytes hold the reservation; request_key.rs builds it that way.

--- a/crates/wb-entry/src/daemon.rs
+++ b/crates/wb-entry/src/daemon.rs
@@ -82,6 +82,7 @@
             max_connections: limits.max_connections,
             head_timeout: limits.head_timeout,
             ack_timeout: limits.idle_timeout * 3,
+            write_timeout: limits.idle_timeout * 2,
         };
         let proxy = Arc::new(Proxy::new(context.clone()));
         let callers = tokio::spawn(serve::serve(callers, options, proxy, stopped.clone()));
--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -81,6 +81,8 @@
     ServersUnreachable = 313,
     /// A backend server that may have left was asked whether it has.
     ServerAsked = 314,
+    /// A streamed response was cut off at its deadline, since its caller did not read it.
+    ResponseUnread = 316,
     /// A member's liveness changed.
     Member = 401,
     /// The homes or owners of a service changed.
--- a/crates/wb-gateway/src/proxy/buffers.rs
+++ b/crates/wb-gateway/src/proxy/buffers.rs
@@ -42,19 +42,30 @@
     share: Option<TeamShare>,
 }
 
-/// A buffered body, or the start of one, and the memory that it takes until it has been passed on.
+/// Bytes, and the memory that they take until the last copy of them is dropped.
+struct Held {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// A buffered body, or the start of one. Its memory is taken until it has been written to a connection,
+/// which may be long after it was passed on.
 #[derive(Debug)]
 pub struct BufferedBody {
     bytes: Option<Bytes>,
-    _reservation: Reservation,
 }
 
 impl BufferedBody {
     /// A body that takes memory.
     pub fn new(bytes: Bytes, reservation: Reservation) -> Self {
         Self {
-            bytes: Some(bytes).filter(|bytes| !bytes.is_empty()),
-            _reservation: reservation,
+            bytes: Some(reservation.hold(bytes)).filter(|bytes| !bytes.is_empty()),
         }
     }
 
@@ -157,6 +168,17 @@
         }
         true
     }
+
+    /// Returns bytes that keep the reservation until the last copy of them is dropped.
+    pub fn hold(self, bytes: Bytes) -> Bytes {
+        if bytes.is_empty() {
+            return bytes;
+        }
+        Bytes::from_owner(Held {
+            bytes,
+            _reservation: self,
+        })
+    }
 }
 
 impl Drop for Reservation {
--- a/crates/wb-gateway/src/proxy/mod.rs
+++ b/crates/wb-gateway/src/proxy/mod.rs
@@ -123,4 +123,8 @@
     fn connection_failed(&self, peer: SocketAddr, reason: &str) {
         line!(Event::ConnectionError, peer = peer, error = reason);
     }
+
+    fn listener_unbounded(&self, reason: &str) {
+        line!(Event::ConnectionError, error = reason);
+    }
 }
--- a/crates/wb-gateway/src/proxy/payload.rs
+++ b/crates/wb-gateway/src/proxy/payload.rs
@@ -16,7 +16,6 @@
 use wb_http::body;
 
 use super::buffers::Buffers;
-use super::buffers::Reservation;
 use super::routed::Rejection;
 use super::routed::RoutedRequest;
 
@@ -26,8 +25,8 @@
 
 /// Body of a request.
 pub enum Payload {
-    /// Buffered in reserved memory; can be sent any number of times.
-    Buffered(Bytes, Reservation),
+    /// Buffered in memory that they keep reserved; can be sent any number of times.
+    Buffered(Bytes),
     /// Streamed as it arrives; can be sent once.
     Streaming(Option<Body>),
 }
@@ -63,18 +62,18 @@
             }
             if bytes.len() > BUFFER_MAX || !reservation.grow(bytes.capacity()) {
                 return Ok(Self::Streaming(Some(body::boxed(ResumedBody {
-                    prefix: Some(bytes.freeze()),
+                    prefix: Some(reservation.hold(bytes.freeze())),
                     remaining: incoming,
                 }))));
             }
         }
-        Ok(Self::Buffered(bytes.freeze(), reservation))
+        Ok(Self::Buffered(reservation.hold(bytes.freeze())))
     }
 
     /// Returns the body to send, if it is still available.
     pub fn take_body(&mut self) -> Option<Body> {
         match self {
-            Self::Buffered(bytes, _) => Some(body::full(bytes.clone())),
+            Self::Buffered(bytes) => Some(body::full(bytes.clone())),
             Self::Streaming(body) => body.take(),
         }
     }
@@ -82,7 +81,7 @@
     /// Returns the body if it is buffered.
     pub fn buffered(&self) -> Option<&Bytes> {
         match self {
-            Self::Buffered(bytes, _) => Some(bytes),
+            Self::Buffered(bytes) => Some(bytes),
             Self::Streaming(_) => None,
         }
     }
@@ -97,7 +96,7 @@
     /// Whether the body can be sent (again).
     pub fn is_available(&self) -> bool {
         match self {
-            Self::Buffered(..) => true,
+            Self::Buffered(_) => true,
             Self::Streaming(body) => body.is_some(),
         }
     }
--- a/crates/wb-gateway/tests/buffers.rs
+++ b/crates/wb-gateway/tests/buffers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use wb_balance::TeamShare;
+use wb_gateway::proxy::buffers::BufferedBody;
 use wb_gateway::proxy::buffers::Buffers;
 use wb_gateway::proxy::buffers::Reservation;
 
@@ -61,3 +62,29 @@
     let again = fill(&buffers, &share("hot", 1.0));
     assert!((49..=51).contains(&again.len()), "{} bodies", again.len());
 }
+
+#[test]
+fn bytes_keep_their_memory_until_the_last_copy_is_dropped() {
+    let buffers = Buffers::new(SIZE);
+    let mut reservation = buffers.reserve(None);
+    assert!(reservation.grow(BODY));
+    let bytes = reservation.hold(vec![1; BODY].into());
+    let rest = bytes.slice(BODY / 2..);
+    drop(bytes);
+    assert_eq!(buffers.free(), SIZE - BODY);
+    drop(rest);
+    assert_eq!(buffers.free(), SIZE);
+}
+
+#[test]
+fn body_that_was_passed_on_keeps_its_memory_until_it_is_written() {
+    let buffers = Buffers::new(SIZE);
+    let mut reservation = buffers.reserve(None);
+    assert!(reservation.grow(BODY));
+    let mut body = BufferedBody::new(vec![1; BODY].into(), reservation);
+    let unwritten = body.take();
+    drop(body);
+    assert_eq!(buffers.free(), SIZE - BODY);
+    drop(unwritten);
+    assert_eq!(buffers.free(), SIZE);
+}
--- a/crates/wb-gateway/tests/request_key.rs
+++ b/crates/wb-gateway/tests/request_key.rs
@@ -1,7 +1,6 @@
 //! When two requests have the same key.
 
 use http::Request;
-use wb_gateway::proxy::buffers::Buffers;
 use wb_gateway::proxy::payload::Payload;
 use wb_gateway::proxy::request_key;
 use wb_http::body;
@@ -15,9 +14,7 @@
     }
     let (head, ()) = request.body(()).expect("the request is valid").into_parts();
     let payload = match content {
-        Some(content) => {
-            Payload::Buffered(content.to_owned().into(), Buffers::new(0).reserve(None))
-        }
+        Some(content) => Payload::Buffered(content.to_owned().into()),
         None => Payload::Streaming(Some(body::full(Vec::new()))),
     };
     request_key::of(&head, &payload)
--- a/crates/wb-http/src/serve/connection.rs
+++ b/crates/wb-http/src/serve/connection.rs
@@ -4,10 +4,12 @@
 use std::future::Future;
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::Sleep;
 
 use super::Handler;
 use super::Options;
@@ -40,6 +43,8 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 /// Most bytes that are read from a closed connection.
 const LINGER_MAX: usize = 1024 * 1024;
+/// Bytes of the responses of one connection that wait to be sent, for each of its streams.
+const UNSENT_MAX: usize = 64 * 1024;
 
 /// When the bytes of a request were received, as an extension of the request. A request may wait
 /// behind others on its connection before its handler is called.
@@ -72,6 +77,40 @@
     }
 }
 
+/// Ends a connection whose peer reads nothing.
+struct Blocked<'a> {
+    monitor: &'a Monitor,
+    timeout: Duration,
+    /// End of the time in which something must be written, if nothing can be written now.
+    due: Option<Pin<Box<Sleep>>>,
+}
+
+impl<'a> Blocked<'a> {
+    fn new(monitor: &'a Monitor, timeout: Duration) -> Self {
+        Self {
+            monitor,
+            timeout,
+            due: None,
+        }
+    }
+
+    /// Whether nothing could be written for the whole timeout.
+    fn poll_expired(&mut self, cx: &mut Context<'_>) -> bool {
+        let Some(since) = self.monitor.blocked() else {
+            self.due = None;
+            return false;
+        };
+        let end = (since + self.timeout).into();
+        let due = self
+            .due
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(end)));
+        if due.deadline() != end {
+            due.as_mut().reset(end);
+        }
+        due.as_mut().poll(cx).is_ready()
+    }
+}
+
 /// Serves the requests of a connection in the order in which they were received, until the peer or
 /// the handler closes it, or `stop` becomes true and the requests in progress are answered.
 pub(super) async fn run(
@@ -127,6 +166,7 @@
     let mut connection = pin!(builder.serve_connection(TokioIo::new(reader), service));
     let mut stopped = pin!(ready_to_stop(stop, requests.clone()));
     let mut stopping = false;
+    let mut blocked = Blocked::new(monitor, options.write_timeout);
     poll_fn(|cx| {
         if let Poll::Ready(result) = connection.as_mut().poll(cx) {
             return Poll::Ready(result.err().map(|err| err.to_string()));
@@ -135,6 +175,10 @@
         if busy && monitor.poll_closed(cx) {
             return Poll::Ready(Some("the peer left before its response".to_owned()));
         }
+        if blocked.poll_expired(cx) {
+            monitor.set_reset(true);
+            return Poll::Ready(Some("the peer does not read its response".to_owned()));
+        }
         if !stopping && stopped.as_mut().poll(cx).is_ready() {
             stopping = true;
             connection.as_mut().graceful_shutdown();
@@ -157,7 +201,8 @@
         .http2()
         .timer(TokioTimer::new())
         .keep_alive_interval(options.ack_timeout / 3)
-        .max_header_list_size(HEAD_MAX as u32);
+        .max_header_list_size(HEAD_MAX as u32)
+        .max_send_buf_size(UNSENT_MAX);
     builder
 }
 
--- a/crates/wb-http/src/serve/mod.rs
+++ b/crates/wb-http/src/serve/mod.rs
@@ -14,6 +14,7 @@
 use futures::future::BoxFuture;
 use http::Request;
 use http::Response;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
@@ -28,6 +29,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time after a stop in which connections that were opened before it are accepted.
 const PENDING_TIME: Duration = Duration::from_millis(20);
+/// Send buffer of a connection, in bytes, which the kernel doubles. By itself it would take megabytes for a
+/// peer that reads nothing.
+const SEND_BUFFER: usize = 128 * 1024;
 
 /// Handles the requests of a listener.
 pub trait Handler: Send + Sync {
@@ -40,6 +44,9 @@
 
     /// Called when a connection ended with an error.
     fn connection_failed(&self, _peer: SocketAddr, _reason: &str) {}
+
+    /// Called when the send buffers of a listener's connections can't be bounded.
+    fn listener_unbounded(&self, _reason: &str) {}
 }
 
 /// Settings of a listener.
@@ -52,6 +59,9 @@
     /// Time after which the kernel closes a connection whose peer acknowledges nothing
     /// (`TCP_USER_TIMEOUT` and keepalive).
     pub ack_timeout: Duration,
+    /// Time after which a connection is closed if nothing more can be written to it, since its peer does
+    /// not read. A peer that reads makes room in steps of about a third of the send buffer.
+    pub write_timeout: Duration,
 }
 
 impl Default for Options {
@@ -60,6 +70,7 @@
             max_connections: 4096,
             head_timeout: Duration::from_secs(5),
             ack_timeout: Duration::from_secs(30),
+            write_timeout: Duration::from_secs(10),
         }
     }
 }
@@ -71,6 +82,10 @@
     handler: Arc<dyn Handler>,
     stop: watch::Receiver<bool>,
 ) {
+    // Connections inherit it.
+    if let Err(err) = SockRef::from(&listener).set_send_buffer_size(SEND_BUFFER) {
+        handler.listener_unbounded(&err.to_string());
+    }
     let connections = Arc::new(Semaphore::new(options.max_connections));
     let server = Server {
         listener,
--- a/crates/wb-http/src/serve/read_ahead.rs
+++ b/crates/wb-http/src/serve/read_ahead.rs
@@ -39,6 +39,8 @@
     starved: bool,
     /// Whether the connection ends with a reset.
     reset: bool,
+    /// Since when nothing more can be written.
+    blocked: Option<Instant>,
 }
 
 /// The reader's and writer's side of a stream.
@@ -57,6 +59,7 @@
         closed: false,
         starved: false,
         reset: false,
+        blocked: None,
     }));
     (Reader(shared.clone()), Monitor(shared))
 }
@@ -81,6 +84,19 @@
         }
         Poll::Ready(result.map(|()| count))
     }
+
+    /// Writes to the stream, and records since when nothing can be written.
+    fn poll_write(
+        &mut self,
+        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let polled = write(Pin::new(&mut self.stream));
+        self.blocked = match polled {
+            Poll::Ready(_) => None,
+            Poll::Pending => self.blocked.or_else(|| Some(Instant::now())),
+        };
+        polled
+    }
 }
 
 impl Monitor {
@@ -109,6 +125,11 @@
         lock(&self.0).closed
     }
 
+    /// Since when nothing more can be written, since the peer does not read; `None` if it does.
+    pub(super) fn blocked(&self) -> Option<Instant> {
+        lock(&self.0).blocked
+    }
+
     /// Lets the connection end with a reset, whatever ends it, or in order.
     pub(super) fn set_reset(&self, reset: bool) {
         let mut shared = lock(&self.0);
@@ -173,7 +194,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut lock(&self.0).stream).poll_write(cx, bytes)
+        lock(&self.0).poll_write(|stream| stream.poll_write(cx, bytes))
     }
 
     fn poll_write_vectored(
@@ -181,7 +202,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut lock(&self.0).stream).poll_write_vectored(cx, bufs)
+        lock(&self.0).poll_write(|stream| stream.poll_write_vectored(cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
