balance: count large bodies at servers that end under many

Cause: a server ends if what it holds exceeds its memory, which nobody tells. All of its requests were suspected of it, and innocent uploads held.

Change: wb-balance/src/bytes.rs counts the bodies from 64 KiB on that are in flight at each server. An end while others' bodies are many is not held against the request (E317), and from then on the service's servers get at most half of those bytes at a time; the limit doubles every five minutes. Homes tell each other the limit and their counts (Packet::Bytes, the last variant, E318) while a limit is known, with the counts of requests. Without a limit nothing is sent, and the choice is as before.

--- a/crates/wb-balance/src/balancer/mod.rs
+++ b/crates/wb-balance/src/balancer/mod.rs
@@ -7,6 +7,7 @@
 
 mod access;
 mod finish;
+mod held;
 mod limits;
 mod offer;
 mod order;
@@ -32,6 +33,8 @@
 use crate::Hedging;
 use crate::Options;
 use crate::RetryBudget;
+use crate::bytes::ByteLimit;
+use crate::bytes::HeldBytes;
 use crate::closing::Closing;
 use crate::durations::Durations;
 use crate::durations::RouteKey;
@@ -86,6 +89,8 @@
     pub deadline: Moment,
     /// Servers that it was sent to before.
     pub tried: Vec<ServerKey>,
+    /// Size of its body if that is large ([`crate::bytes::counted`]), in bytes; 0 otherwise.
+    pub body: u64,
 }
 
 /// A slot at a server, taken for one request.
@@ -105,6 +110,8 @@
     pub score: f64,
     /// Limit that the server has named for all instances together.
     pub limit: Option<Rate>,
+    /// Size of the request's body if that is large, in bytes; 0 otherwise.
+    pub body: u64,
 }
 
 /// Why a request is refused. No server has run the refused send.
@@ -241,6 +248,8 @@
     limit: ServerLimit,
     /// Gets no requests before this time, because it has asked for a pause.
     paused_until: Moment,
+    /// Bytes of large bodies in flight.
+    bytes: HeldBytes,
 }
 
 /// A queued request.
@@ -305,4 +314,6 @@
     /// When a request first went before others in the queue since it was last checked whether they
     /// still have time.
     overtaken_since: Option<Moment>,
+    /// What a server can hold.
+    byte_limit: ByteLimit,
 }
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -145,6 +145,7 @@
         self.servers
             .iter()
             .filter(|(_, entry)| entry.is_open(now) && entry.detector.is_trial_due(now))
+            .filter(|(_, entry)| self.admits_body(entry, request, now))
             .min_by_key(|(_, entry)| entry.detector.next_trial())
             .map(|(key, _)| key)
     }
@@ -201,10 +202,12 @@
                 || now < entry.backoff_until
                 || !eligible(entry)
                 || request.tried.contains(&key)
+                || !self.admits_body(entry, request, now)
             {
                 continue;
             }
-            let cost = self.cost(entry, request.may_explore(), now);
+            let cost = self.cost(entry, request.may_explore(), now)
+                + self.body_cost(entry, request.body, now);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, key));
             }
@@ -271,6 +274,7 @@
         self.shares.charge(request, in_flight);
         let entry = &mut self.servers[key];
         entry.own_running += 1;
+        entry.bytes.take(request.body);
         entry.limit.take(now);
         let trial = entry.detector.is_suspect();
         if trial {
@@ -285,6 +289,7 @@
             since_success: entry.detector.since_success(now),
             score: entry.detector.score(),
             limit: entry.limit.rate(),
+            body: request.body,
         })
     }
 }
--- a/crates/wb-balance/src/balancer/update.rs
+++ b/crates/wb-balance/src/balancer/update.rs
@@ -16,6 +16,8 @@
 use crate::FailureDetector;
 use crate::Options;
 use crate::RetryBudget;
+use crate::bytes::ByteLimit;
+use crate::bytes::HeldBytes;
 use crate::durations::Durations;
 use crate::limit::Division;
 use crate::limit::ServerLimit;
@@ -72,6 +74,7 @@
             shares: Shares::default(),
             repeat_parts: Parts::fading(window, REPEAT_PATIENCE),
             overtaken_since: None,
+            byte_limit: ByteLimit::default(),
         }
     }
 
@@ -132,6 +135,7 @@
             misdirected: false,
             limit: ServerLimit::default(),
             paused_until: paused_until.unwrap_or_default(),
+            bytes: HeldBytes::default(),
         });
         self.keys.insert(listed.server.name.clone(), key);
     }
--- a/crates/wb-balance/src/balancer/wait.rs
+++ b/crates/wb-balance/src/balancer/wait.rs
@@ -30,6 +30,8 @@
     /// Share of the retry budget that is reserved for others, as bits.
     reserved: u64,
     tried: Vec<ServerKey>,
+    /// Size of the body, if servers are known to hold only so many bytes; 0 otherwise.
+    body: u64,
 }
 
 impl Balancer {
@@ -83,6 +85,11 @@
             trial_time: Self::is_trial_time(request, typical, now),
             reserved: self.reserved_share(request, now).to_bits(),
             tried: request.tried.clone(),
+            body: if self.byte_limit(now).is_some() {
+                request.body
+            } else {
+                0
+            },
         }
     }
 
--- a/crates/wb-balance/src/lib.rs
+++ b/crates/wb-balance/src/lib.rs
@@ -1,5 +1,6 @@
 //! Choice of a backend server, queueing and refusal, without I/O.
 //!
+//! - [`bytes`]: body bytes in flight at the servers, and how many they can hold.
 //! - [`closing`]: which requests are still sent before the process ends.
 //! - [`detector`]: failure detector of one server, and when a suspect server is tried again.
 //! - [`balancer`]: the servers of one service, the choice among them, and the queue.
@@ -19,6 +20,7 @@
 //! All functions take the current time as an argument, so that tests run on virtual time.
 
 pub mod balancer;
+pub mod bytes;
 pub mod closing;
 pub mod detector;
 pub mod durations;
--- a/crates/wb-balance/tests/support/mod.rs
+++ b/crates/wb-balance/tests/support/mod.rs
@@ -69,6 +69,7 @@
         target_latency: Duration::from_millis(1500),
         deadline: now + Duration::from_secs(10),
         tried: Vec::new(),
+        body: 0,
     }
 }
 
--- a/crates/wb-event/src/event.rs
+++ b/crates/wb-event/src/event.rs
@@ -83,6 +83,10 @@
     ServerAsked = 314,
     /// A streamed response was cut off at its deadline, since its caller did not read it.
     ResponseUnread = 316,
+    /// A backend server may have ended since it held too many bytes of bodies.
+    BytesBlamed = 317,
+    /// Another instance has reported how many bytes of bodies a service's servers hold.
+    BytesLimited = 318,
     /// A member's liveness changed.
     Member = 401,
     /// The homes or owners of a service changed.
--- a/crates/wb-gateway/src/peers/heartbeat.rs
+++ b/crates/wb-gateway/src/peers/heartbeat.rs
@@ -12,6 +12,7 @@
 use wb_types::id::ServiceName;
 
 use super::Packet;
+use super::bytes;
 use super::limits;
 use super::packet::Heartbeat;
 use super::packet::PathReport;
@@ -196,6 +197,9 @@
         rounds = rounds.wrapping_add(1);
         let full = rounds.is_multiple_of(FULL_EVERY);
         let mut state = context.state();
+        for packet in bytes::reports(&mut state, full, context.now()) {
+            context.send_packet(packet, state.steering.home_peers());
+        }
         let successes: HashMap<ServiceName, Vec<ServerName>> = state
             .services
             .iter_mut()
--- a/crates/wb-gateway/src/peers/mod.rs
+++ b/crates/wb-gateway/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! sender if the platform does not answer ([`snapshot`]).
 
 pub mod allowance;
+pub mod bytes;
 pub mod heartbeat;
 pub mod leaving;
 pub mod limits;
--- a/crates/wb-gateway/src/peers/packet.rs
+++ b/crates/wb-gateway/src/peers/packet.rs
@@ -25,6 +25,7 @@
 use wb_types::id::ServiceName;
 use wb_types::id::TableVersion;
 
+use super::bytes::BytesReport;
 use crate::platform::Era;
 
 /// Largest datagram, in bytes: fits into one network packet, so that it isn't fragmented.
@@ -108,6 +109,8 @@
     AllowanceQuestion(Question),
     /// Response to such a question.
     AllowanceGrant(Grant),
+    /// Body bytes that the sender has in flight at servers which hold only so many.
+    Bytes(BytesReport),
 }
 
 /// What a response says about the limit of its server, as another instance reports it.
--- a/crates/wb-gateway/src/peers/receive.rs
+++ b/crates/wb-gateway/src/peers/receive.rs
@@ -16,6 +16,7 @@
 
 use super::Packet;
 use super::allowance;
+use super::bytes;
 use super::heartbeat;
 use super::leaving;
 use super::limits;
@@ -59,6 +60,7 @@
             allowance::handle_question(context, &question, peer);
         }
         Packet::AllowanceGrant(grant) => allowance::handle_grant(context, &grant),
+        Packet::Bytes(report) => bytes::handle(context, &report),
         Packet::PlatformEra { era } => {
             // The era counts only once the platform itself has answered in it.
             if context.state().era < Some(era) {
--- a/crates/wb-gateway/src/proxy/crash.rs
+++ b/crates/wb-gateway/src/proxy/crash.rs
@@ -18,7 +18,9 @@
 use super::routed::RoutedRequest;
 use super::slot::Slot;
 use crate::Context;
+use crate::context::State;
 use crate::follow::holds;
+use crate::peers::bytes;
 use crate::peers::quarantine;
 
 /// Time in which all connections of a process that has ended are known to be closed.
@@ -30,7 +32,16 @@
 /// Finds out in a task of its own whether the server of a slot has ended, after its connection was cut
 /// in an attempt that began at the time `began`.
 pub fn investigate(slot: &Slot, began: Moment) -> JoinHandle<()> {
+    let state = slot.context.state();
+    let service = state.services.get(&slot.routed.service);
+    let now = slot.context.now();
+    let held = service.map_or(0, |service| {
+        service.balancer.peak_bytes(slot.assignment.key, now)
+    });
+    drop(state);
     let attempt = CutAttempt {
+        held,
+        body: slot.assignment.body,
         server: slot.assignment.server.clone(),
         lifetime: slot.lifetime,
         options: slot.send_options(),
@@ -62,6 +73,10 @@
     options: SendOptions,
     /// When the attempt began.
     began: Moment,
+    /// Bytes of large bodies that the server held.
+    held: u64,
+    /// Those of the request itself.
+    body: u64,
 }
 
 impl CutAttempt {
@@ -80,10 +95,14 @@
             service = routed.service,
             server = self.server.name,
             started = lifetime,
+            held = self.held,
             ran_ms = context.now().saturating_sub(self.began).as_millis() as u64
         );
         let now = context.now();
         let mut state = context.state();
+        if self.is_due_to_bytes(&context, &mut state, &routed, now) {
+            return;
+        }
         let server = &self.server.name;
         let quarantine = &mut state.quarantine;
         if let Some(change) = quarantine.record_crash(key, server, lifetime, self.began, now) {
@@ -108,6 +127,37 @@
         refused && path::is_open(context, address, CONNECT_TIMEOUT).await
     }
 
+    /// Whether the server may have ended since it held too many bytes, which says nothing of the
+    /// request. Less is sent to the servers from then on, also by the other homes.
+    fn is_due_to_bytes(
+        &self,
+        context: &Context,
+        state: &mut State,
+        routed: &RoutedRequest,
+        now: Moment,
+    ) -> bool {
+        let Some(service) = state.services.get_mut(&routed.service) else {
+            return false;
+        };
+        let before = service.balancer.byte_limit(now);
+        if !service.balancer.record_end(self.held, self.body, now) {
+            return false;
+        }
+        let limit = service.balancer.byte_limit(now);
+        line!(
+            Event::BytesBlamed,
+            request = routed.id,
+            service = routed.service,
+            server = self.server.name,
+            held = self.held,
+            limit = limit
+        );
+        if let Some(limit) = limit.filter(|_| limit != before) {
+            bytes::tell_limit(context, state, &routed.service, limit);
+        }
+        true
+    }
+
     /// Whether the server was due to end.
     fn was_leaving(&self, context: &Context, lifetime: Lifetime) -> bool {
         let state = context.state();
--- a/crates/wb-gateway/src/proxy/forward.rs
+++ b/crates/wb-gateway/src/proxy/forward.rs
@@ -16,6 +16,7 @@
 use wb_balance::RequestInfo;
 use wb_balance::ServerKey;
 use wb_balance::balancer::RefusalCause;
+use wb_balance::bytes;
 use wb_http::Body;
 use wb_quarantine::Standing;
 use wb_types::id::InstanceName;
@@ -138,6 +139,7 @@
             target_latency: route.target_latency,
             deadline: self.routed.deadline,
             tried: self.tried.clone(),
+            body: bytes::counted(self.payload.size(self.routed)),
         }
     }
 
--- a/crates/wb-gateway/src/proxy/payload.rs
+++ b/crates/wb-gateway/src/proxy/payload.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::StatusCode;
+use http::header::CONTENT_LENGTH;
 use http_body::Body as _;
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -18,6 +19,7 @@
 use super::buffers::Buffers;
 use super::routed::Rejection;
 use super::routed::RoutedRequest;
+use super::routed::header_text;
 
 /// Bodies up to this size, in bytes, are buffered before a server is chosen, so that the request
 /// can be retried if a server sheds it. A small instance has memory for a few hundred of them.
@@ -86,6 +88,17 @@
         }
     }
 
+    /// Size of the body, in bytes; that of a streamed one is what its head announces, or 0.
+    pub fn size(&self, routed: &RoutedRequest) -> u64 {
+        if let Some(bytes) = self.buffered() {
+            return bytes.len() as u64;
+        }
+        let length = header_text(&routed.head.headers, &CONTENT_LENGTH);
+        length
+            .and_then(|length| length.parse().ok())
+            .unwrap_or_default()
+    }
+
     /// Takes back a body of which nothing was sent.
     pub fn restore_body(&mut self, body: Body) {
         if let Self::Streaming(stream) = self {
--- a/crates/wb-gateway/src/proxy/slot.rs
+++ b/crates/wb-gateway/src/proxy/slot.rs
@@ -25,6 +25,7 @@
 use crate::Context;
 use crate::metrics::ServiceLabels;
 use crate::peers::Packet;
+use crate::peers::bytes;
 
 /// A slot at a server, released when it is dropped.
 pub struct Slot {
@@ -137,6 +138,7 @@
         }
     };
     log_routed(context, routed, &assignment, kind, now);
+    bytes::tell_urgent(context, &routed.service, assignment.body);
     if assignment.limit.is_some() {
         let labels = ServiceLabels {
             service: routed.service.to_string(),
@@ -316,10 +318,13 @@
         let report = service
             .balancer
             .finish(self.assignment.key, route, outcome, now);
-        if matches!(
+        let answered = matches!(
             outcome,
             AttemptOutcome::Success(_) | AttemptOutcome::Late(_)
-        ) {
+        );
+        let (key, body) = (self.assignment.key, self.assignment.body);
+        service.balancer.finish_body(key, body, answered, now);
+        if answered {
             service.record_success(self.assignment.server.name.clone());
         }
         service.release_queued(now);
--- a/crates/wb-gateway/src/service.rs
+++ b/crates/wb-gateway/src/service.rs
@@ -104,6 +104,8 @@
                     wb_balance::AttemptOutcome::Inconclusive,
                     now,
                 );
+                let (key, body) = (assignment.key, assignment.body);
+                self.balancer.finish_body(key, body, false, now);
             }
         }
     }
