--- a/crates/wb-allowance/src/ledger.rs
+++ b/crates/wb-allowance/src/ledger.rs
@@ -342,12 +342,12 @@
         let holding = self.holding(now);
         for account in self.accounts.values_mut() {
             let limit = account.bucket.limit();
-            let tokens = match credit {
-                Credit::None => 0.0,
-                Credit::Start => limit.start,
-                Credit::Full => limit.capacity,
-            };
-            account.bucket.add_credit(tokens * part, holding);
+            match credit {
+                Credit::None => {}
+                Credit::Start => account.bucket.add_credit(limit.start * part, holding),
+                // Instances that don't know all others yet take their parts for larger ones.
+                Credit::Full => account.bucket.credit(limit.capacity * part, holding),
+            }
         }
     }
 
--- a/crates/wb-balance/src/balancer/pick.rs
+++ b/crates/wb-balance/src/balancer/pick.rs
@@ -31,7 +31,7 @@
 const UNSERVED_MAX: f64 = 0.06;
 /// Share of overdue and failed sends from which the floor may count: one in thirty is overdue at sound
 /// servers.
-const OVERDUE_LOW: f64 = 0.08;
+const OVERDUE_LOW: f64 = 0.12;
 /// The same from which it counts in full.
 const OVERDUE_HIGH: f64 = 0.16;
 /// Share of unserved requests from which recency has no weight at a service without explorers.
@@ -159,6 +159,7 @@
         self.servers
             .iter()
             .filter(|(_, entry)| entry.is_open(now) && entry.detector.is_trial_due(now))
+            .filter(|(_, entry)| self.admits_body(entry, request, now))
             .min_by_key(|(_, entry)| entry.detector.next_trial())
             .map(|(key, _)| key)
     }
@@ -245,10 +246,12 @@
                 || now < entry.backoff_until
                 || !eligible(entry)
                 || request.tried.contains(&key)
+                || !self.admits_body(entry, request, now)
             {
                 continue;
             }
-            let cost = self.cost(entry, request.may_explore(), now);
+            let cost = self.cost(entry, request.may_explore(), now)
+                + self.body_cost(entry, request.body, now);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, key));
             }
@@ -315,6 +318,7 @@
         self.shares.charge(request, in_flight);
         let entry = &mut self.servers[key];
         entry.own_running += 1;
+        entry.bytes.take(request.body);
         entry.limit.take(now);
         let trial = entry.detector.is_suspect();
         if trial {
@@ -329,6 +333,7 @@
             since_success: entry.detector.since_success(now),
             score: entry.detector.score(),
             limit: entry.limit.rate(),
+            body: request.body,
         })
     }
 }
