review: add a case on a removal that the store performs late

Cause: a daemon removes its row without a precondition, and registers only once. Change: a script that restarts a daemon whose removal is performed late, adds a second one and counts the runs of a team.

--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -3,7 +3,9 @@
 mod bed;
 mod client;
 mod freeze;
+mod proxy;
 mod record;
+mod removal;
 mod server;
 
 use std::process::ExitCode;
@@ -21,6 +23,7 @@
     let case = std::env::args().nth(1).unwrap_or_default();
     let result = match case.as_str() {
         "freeze" => freeze::run(&record, has_trouble()).await,
+        "removal" => removal::run(&record, has_trouble()).await,
         other => Err(eyre::eyre!("unknown case {other:?}")),
     };
     let written = record.write();
