review: add a case on streamed bodies of GET requests

Cause: a streamed body of unknown length is sent without framing. Change: a script that sends bodies in chunks, and a stand-in server that counts what it gets.

--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the second review: starts daemons, servers, a store and clients, and judges one rule.
 
 mod bed;
+mod chunks;
 mod client;
 mod freeze;
 mod proxy;
@@ -22,6 +23,7 @@
     let record = Record::default();
     let case = std::env::args().nth(1).unwrap_or_default();
     let result = match case.as_str() {
+        "chunks" => chunks::run(&record, has_trouble()).await,
         "freeze" => freeze::run(&record, has_trouble()).await,
         "removal" => removal::run(&record, has_trouble()).await,
         other => Err(eyre::eyre!("unknown case {other:?}")),
--- a/review/stand-2/src/server.rs
+++ b/review/stand-2/src/server.rs
@@ -19,6 +19,8 @@
     pub id: String,
     /// Id of the server.
     pub server: String,
+    /// Size of the body that it got, in bytes.
+    pub size: usize,
     /// When it began.
     pub began: Instant,
     /// When its answer was written; `None` before.
@@ -35,11 +37,12 @@
         self.0.lock().expect("lock is not poisoned").clone()
     }
 
-    fn begin(&self, id: &str, server: &str) -> usize {
+    fn begin(&self, id: &str, server: &str, size: usize) -> usize {
         let mut runs = self.0.lock().expect("lock is not poisoned");
         runs.push(Run {
             id: id.to_owned(),
             server: server.to_owned(),
+            size,
             began: Instant::now(),
             ended: None,
         });
@@ -93,15 +96,9 @@
         let Some(head) = read_head(&mut stream, &mut buffer).await else {
             return;
         };
-        let length = field(&head, "content-length");
-        let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
-        while buffer.len() < length {
-            match stream.read_buf(&mut buffer).await {
-                Ok(count) if count > 0 => {}
-                _ => return,
-            }
-        }
-        buffer.drain(..length);
+        let Some(size) = read_body(&mut stream, &mut buffer, &head).await else {
+            return;
+        };
         let id = field(&head, "x-wisteriabarrow-request-id").unwrap_or_default();
         let Ok(_slot) = slots.acquire().await else {
             return;
@@ -115,7 +112,7 @@
             }
             continue;
         }
-        let run = runs.begin(&id, &name);
+        let run = runs.begin(&id, &name, size);
         let mut byte = [0; 1];
         // A server drops a request when its connection closes.
         tokio::select! {
@@ -149,6 +146,45 @@
     }
 }
 
+/// Reads the body of a request, and returns its size.
+async fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, head: &str) -> Option<usize> {
+    if field(head, "transfer-encoding").is_none() {
+        let length = field(head, "content-length");
+        let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+        fill(stream, buffer, length).await?;
+        buffer.drain(..length);
+        return Some(length);
+    }
+    let mut all = 0;
+    loop {
+        let end = buffer.windows(2).position(|window| window == b"\r\n");
+        let Some(end) = end else {
+            let more = buffer.len() + 1;
+            fill(stream, buffer, more).await?;
+            continue;
+        };
+        let size = String::from_utf8_lossy(&buffer[..end]).into_owned();
+        let size = usize::from_str_radix(size.trim(), 16).ok()?;
+        let chunk = end + 2 + size + 2;
+        fill(stream, buffer, chunk).await?;
+        buffer.drain(..chunk);
+        if size == 0 {
+            return Some(all);
+        }
+        all += size;
+    }
+}
+
+/// Reads until the buffer holds so many bytes.
+async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>, size: usize) -> Option<()> {
+    while buffer.len() < size {
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    Some(())
+}
+
 /// A header field of a head.
 pub fn field(head: &str, name: &str) -> Option<String> {
     let fields = head.lines().skip(1).filter_map(|line| line.split_once(':'));
